--- a/include/ibis/policy/block.hpp
+++ b/include/ibis/policy/block.hpp
@@ -7,6 +7,7 @@
 #include <deque>          // for deque
 #include <map>            // for map
 #include <memory>         // for shared_ptr
+#include <set>            // for set
 #include <string>         // for string
 #include <unordered_map>  // for unordered_map
 #include <utility>        // for pair
@@ -30,6 +31,7 @@
   base::milliseconds silent_ceiling{2000};
   double silent_factor = 10.0;  ///< Over the 99th percentile of the service.
   std::uint32_t retries_per_group = 3;
+  std::size_t remembered_submits = 10000;  ///< Calls, so that none is taken twice.
 };
 
 /// One request to one leaf.
@@ -87,6 +89,8 @@
   std::map<std::pair<std::string, base::block_call_id>, std::uint64_t> by_call;
   std::unordered_map<base::attempt_id, attempt_state> attempts;
   std::unordered_map<std::string, waiting_queue> queues;  ///< By group key.
+  std::set<std::pair<std::string, base::block_call_id>> seen_submits;
+  std::deque<std::pair<std::string, base::block_call_id>> submit_order;
 };
 
 void on_block_request(block_part& part, const std::string& peer,
--- a/include/ibis/policy/query.hpp
+++ b/include/ibis/policy/query.hpp
@@ -83,7 +83,7 @@
                     context& ctx);
 /// Takes the reply of a call that belonged to a query and was ended if final.
 void on_query_reply(query_part& part, call_part& calls, const call_state& call,
-                    const wire::block_reply& reply, context& ctx);
+                    wire::block_reply reply, context& ctx);
 /// Goes on after a call failed.
 /// @param sent Whether the request may have reached the relay.
 void on_query_call_failed(query_part& part, call_part& calls, const call_state& call,
--- a/src/ibis/base/time.cpp
+++ b/src/ibis/base/time.cpp
@@ -8,8 +8,8 @@
 constexpr clock::rep not_paused = -1;
 
 // Guarded by being atomic: the offset moves only when tests pause the clock.
-std::atomic<clock::rep> paused_at{
-    not_paused};  // NOLINT(*-avoid-non-const-global-variables)
+// NOLINTNEXTLINE(*-avoid-non-const-global-variables)
+std::atomic<clock::rep> paused_at{not_paused};
 // NOLINTNEXTLINE(*-avoid-non-const-global-variables)
 std::atomic<clock::rep> offset{0};
 
--- a/src/ibis/policy/block.cpp
+++ b/src/ibis/policy/block.cpp
@@ -1,6 +1,6 @@
 #include "ibis/policy/block.hpp"
 
-#include <algorithm>  // for find, sort, min, max
+#include <algorithm>  // for any_of, clamp, find, max, min, partial_sort
 #include <utility>    // for move
 
 namespace ibis::policy {
@@ -136,10 +136,10 @@
   const base::duration ceiling = part.tuning.silent_ceiling;
   const auto learnt = part.pools.services.find(service);
   if (learnt == part.pools.services.end()) {
-    return ceiling;
+    return floor;
   }
   const base::duration typical =
-      learnt->second.latencies.quantile(high_quantile, ceiling);
+      learnt->second.latencies.quantile(high_quantile, base::duration::zero());
   const auto scaled = std::chrono::duration_cast<base::duration>(
       std::chrono::duration<double, std::nano>(typical) * part.tuning.silent_factor);
   return std::clamp(scaled, floor, ceiling);
@@ -596,6 +596,24 @@
   return !request.groups.empty();
 }
 
+/// Takes a submit only the first time that its message arrives.
+bool is_repeated_submit(block_part& part, const std::string& peer,
+                        const wire::block_request& request) {
+  if (request.kind != request_kind::submit) {
+    return false;
+  }
+  const std::pair<std::string, base::block_call_id> name{peer, request.call};
+  if (!part.seen_submits.insert(name).second) {
+    return true;
+  }
+  part.submit_order.push_back(name);
+  if (part.submit_order.size() > part.tuning.remembered_submits) {
+    part.seen_submits.erase(part.submit_order.front());
+    part.submit_order.pop_front();
+  }
+  return false;
+}
+
 bool serves_any(const block_part& part, const wire::block_request& request) {
   for (const std::uint32_t group : request.groups) {
     if (part.pools.groups.count(group_key(request.service, group)) != 0) {
@@ -605,6 +623,24 @@
   return false;
 }
 
+/// The versions that the block's groups hold; a group without any is lost.
+wire::block_reply describe(const block_part& part, const block_state& block) {
+  wire::block_reply reply = block.reply;
+  add_versions(part, block, reply);
+  for (const group_task& task : block.tasks) {
+    const auto known = [&](const wire::version_range& range) {
+      return range.group == task.group;
+    };
+    if (std::any_of(reply.versions.begin(), reply.versions.end(), known)) {
+      continue;
+    }
+    for (const wire::shard_index shard : task.pending) {
+      reply.missing.push_back({shard, missing_reason::lost});
+    }
+  }
+  return reply;
+}
+
 void start_timers(const block_part& part, const block_state& block, std::uint64_t id,
                   context& ctx) {
   ctx.add_timer(block.request.budget, timer_kind::block_deadline, id);
@@ -624,6 +660,9 @@
 
 void on_block_request(block_part& part, const std::string& peer,
                       const wire::block_request& request, context& ctx) {
+  if (is_repeated_submit(part, peer, request)) {
+    return;
+  }
   const auto service = find_service(ctx.shared.nodes, request.service);
   if (service == nullptr || !groups_exist(request, *service) ||
       !serves_any(part, request)) {
@@ -636,9 +675,7 @@
   }
   block_state block = make_block(peer, request, service, ctx.now);
   if (request.kind == request_kind::describe) {
-    wire::block_reply reply = block.reply;
-    add_versions(part, block, reply);
-    ctx.send(peer, std::move(reply));
+    ctx.send(peer, describe(part, block));
     return;
   }
   const std::uint64_t id = ctx.next_id();
--- a/src/ibis/policy/membership.cpp
+++ b/src/ibis/policy/membership.cpp
@@ -44,6 +44,21 @@
                 base::hash64(state.record.node), state.record.incarnation);
 }
 
+void send_probe(membership_part& part, const std::string& target,
+                std::uint64_t sequence, context& ctx);
+
+std::vector<std::string> random_live(const membership_part& part, std::size_t count,
+                                     const std::string& excluded,
+                                     const std::string& zone, context& ctx);
+
+/// Tells a few members at once, so that news spread faster than by the periodic probes.
+void spread(membership_part& part, const std::string& zone, context& ctx) {
+  for (const std::string& node :
+       random_live(part, part.tuning.rumour_fanout, part.self.node, zone, ctx)) {
+    send_probe(part, node, ctx.next_id(), ctx);
+  }
+}
+
 /// Refutes what others say of this node, but for its leaving, which it takes as an
 /// order.
 void refute(membership_part& part, const member& news, context& ctx) {
@@ -62,6 +77,7 @@
   }
   part.self.incarnation = news.incarnation + 1;
   ++ctx.shared.count.refutations;
+  spread(part, "", ctx);
 }
 
 void apply(membership_part& part, const member& news, context& ctx) {
@@ -221,6 +237,9 @@
   member news = found->second.record;
   news.status = member_status::suspect;
   apply(part, news, ctx);
+  // The one that is suspected hears of it first and can refute it in time.
+  send_probe(part, node, ctx.next_id(), ctx);
+  spread(part, "", ctx);
 }
 
 /// A member that was leaving and does not answer any more is gone.
@@ -376,13 +395,9 @@
 }
 
 void spread_generation(membership_part& part, context& ctx) {
-  std::vector<std::string> told =
-      random_live(part, part.tuning.rumour_fanout, part.self.node, part.self.zone, ctx);
+  spread(part, part.self.zone, ctx);
   for (const std::string& far : random_live(part, 1, part.self.node, "", ctx)) {
-    told.push_back(far);
-  }
-  for (const std::string& node : told) {
-    send_probe(part, node, ctx.next_id(), ctx);
+    send_probe(part, far, ctx.next_id(), ctx);
   }
 }
 
@@ -394,10 +409,7 @@
       send_probe(part, node, ctx.next_id(), ctx);
     }
   }
-  for (const std::string& far :
-       random_live(part, part.tuning.rumour_fanout, part.self.node, "", ctx)) {
-    send_probe(part, far, ctx.next_id(), ctx);
-  }
+  spread(part, "", ctx);
 }
 
 std::map<std::string, std::vector<std::string>> live_relays(
--- a/src/ibis/policy/query.cpp
+++ b/src/ibis/policy/query.cpp
@@ -350,6 +350,36 @@
   }
 }
 
+missing_reason reason_in(const wire::block_reply& reply, config::shard_index shard) {
+  for (const wire::missing_shard& missing : reply.missing) {
+    if (missing.shard == shard) {
+      return missing.reason;
+    }
+  }
+  return missing_reason::no_holder;
+}
+
+/// Counts each shard of a block once, by the pinned map and not by what a holder says
+/// of others. A holder that does not know the service names no shard at all.
+void count_shards(const query_state& query, const query_block& block,
+                  wire::block_reply& reply) {
+  std::vector<config::shard_index> covered;
+  std::vector<wire::missing_shard> missing;
+  std::sort(reply.covered.begin(), reply.covered.end());
+  for (const std::uint32_t group : block.groups) {
+    const config::replica_group& declared = query.service->groups[group];
+    for (auto shard = declared.first_shard; shard <= declared.last_shard; ++shard) {
+      if (std::binary_search(reply.covered.begin(), reply.covered.end(), shard)) {
+        covered.push_back(shard);
+      } else {
+        missing.push_back({shard, reason_in(reply, shard)});
+      }
+    }
+  }
+  reply.covered = std::move(covered);
+  reply.missing = std::move(missing);
+}
+
 bool only_reason(const wire::block_reply& reply, missing_reason reason) {
   for (const wire::missing_shard& shard : reply.missing) {
     if (shard.reason != reason) {
@@ -507,7 +537,7 @@
 }
 
 void on_query_reply(query_part& part, call_part& calls, const call_state& call,
-                    const wire::block_reply& reply, context& ctx) {
+                    wire::block_reply reply, context& ctx) {
   query_state* query = find_query(part, call.request);
   if (query == nullptr) {
     ++ctx.shared.count.late_block_replies;
@@ -525,6 +555,9 @@
     ++ctx.shared.count.version_mismatches;
     return;
   }
+  if (call.kind == request_kind::search || reply.versions.empty()) {
+    count_shards(*query, block, reply);
+  }
   const bool elsewhere = only_reason(reply, missing_reason::no_holder);
   const bool differs = only_reason(reply, missing_reason::moved) && reply.attempts == 0;
   if (elsewhere || differs) {
--- /dev/null
+++ b/tests/membership_faults_test.cpp
@@ -0,0 +1,107 @@
+#include <catch2/catch.hpp>  // for TEST_CASE, CHECK
+
+#include "small_tier.hpp"  // for make_tier
+
+namespace ibis::tests {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using wire::member_status;
+
+constexpr seconds detection_target{3};
+
+tier_shape seven_vms(std::uint64_t seed = 1) {
+  tier_shape shape;
+  shape.zones = 3;
+  shape.vms_per_zone = 2;
+  shape.seed = seed;
+  return shape;
+}
+
+/// How many live nodes see a node in a status.
+std::size_t seen_as(const virtual_tier& tier, const std::string& node,
+                    member_status status) {
+  std::size_t count = 0;
+  for (const auto& [name, other] : tier.nodes) {
+    const auto found = other.state.members.members.find(node);
+    const bool known = found != other.state.members.members.end();
+    count += other.alive && known && found->second.record.status == status ? 1 : 0;
+  }
+  return count;
+}
+
+TEST_CASE("A node that dies is known to be dead everywhere in time") {
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    const auto tier = make_tier(seven_vms(seed));
+    const auto victim = relay_name(1, 1);
+    tier->kill(victim);
+    tier->run_for(detection_target);
+    INFO("seed " << seed);
+    CHECK(seen_as(*tier, victim, member_status::dead) == tier->nodes.size() - 1);
+  }
+}
+
+TEST_CASE("A paused process is suspected, and refutes it when it wakes") {
+  const auto tier = make_tier(seven_vms());
+  const auto victim = relay_name(1, 1);
+  tier->pause(victim);
+  tier->run_for(milliseconds(1500));
+  const auto suspected = seen_as(*tier, victim, member_status::suspect) +
+                         seen_as(*tier, victim, member_status::dead);
+  CHECK(suspected > 0);
+  tier->resume(victim);
+  tier->run_for(seconds(8));
+  CHECK(seen_as(*tier, victim, member_status::alive) == tier->nodes.size() - 1);
+}
+
+TEST_CASE("A process that paused for long comes back as a member") {
+  const auto tier = make_tier(seven_vms());
+  const auto victim = entry_name(0, 1);
+  tier->pause(victim);
+  tier->run_for(seconds(20));
+  CHECK(seen_as(*tier, victim, member_status::dead) == tier->nodes.size() - 1);
+  tier->resume(victim);
+  tier->run_for(seconds(15));
+  CHECK(seen_as(*tier, victim, member_status::alive) == tier->nodes.size() - 1);
+}
+
+TEST_CASE("With one message in twenty lost nobody is declared dead") {
+  const auto tier = make_tier(seven_vms(3));
+  tier->links.loss = 0.05;
+  tier->run_for(std::chrono::minutes(5));
+  std::uint64_t deaths = 0;
+  for (const auto& [name, node] : tier->nodes) {
+    deaths += node.state.shared.count.deaths;
+  }
+  CHECK(deaths == 0);
+}
+
+TEST_CASE("The VM list's word of a leaving VM moves its blocks") {
+  const auto tier = make_tier(seven_vms());
+  standins::stored_object ignored;
+  tier->store.put("vms", R"([{"vm": "zone-1-vm-1", "state": "leaving"}])", {}, ignored);
+  tier->run_for(seconds(5));
+  for (const auto& [name, node] : tier->nodes) {
+    const auto& relays = node.state.shared.nodes.relays;
+    const auto zone = relays.find("zone-1");
+    REQUIRE(zone != relays.end());
+    INFO(name);
+    CHECK(zone->second == std::vector<std::string>{relay_name(1, 0)});
+  }
+}
+
+TEST_CASE("A broken VM list changes nothing") {
+  const auto tier = make_tier(seven_vms());
+  standins::stored_object ignored;
+  tier->store.put("vms", R"({"not": ["a list"], )", {}, ignored);
+  tier->run_for(seconds(5));
+  tier->store.put("vms", R"([1, {"vm": 3}, {"vm": "zone-1-vm-1"}])", {}, ignored);
+  tier->run_for(seconds(5));
+  CHECK(
+      tier->nodes.at(entry_name(0, 0)).state.shared.nodes.relays.at("zone-1").size() ==
+      2);
+}
+
+}  // namespace
+}  // namespace ibis::tests
