--- a/include/ibis/config/declaration.hpp
+++ b/include/ibis/config/declaration.hpp
@@ -39,6 +39,12 @@
   latency_first,   ///< May answer once `answer_by` passed and `min_coverage` is met.
 };
 
+/// How a replica is chosen for an attempt.
+enum class replica_choice {
+  least_wait,   ///< By requests in flight and decayed latency.
+  round_robin,  ///< In turn; a baseline to compare with.
+};
+
 /// Limits and targets of one service.
 struct service_policy {
   answer_mode mode = answer_mode::coverage_first;
@@ -46,7 +52,8 @@
   base::milliseconds answer_by{60};
   base::milliseconds default_timeout{1000};
   base::milliseconds max_timeout{30000};
-  double hedge_budget = 0.03;      ///< Hedges as a share of first attempts.
+  config::replica_choice replica_choice = config::replica_choice::least_wait;
+  double hedge_budget = 0.03;      ///< Hedges as a share of first attempts; 0 for none.
   double retry_budget = 0.1;       ///< Retries as a share of first attempts.
   std::uint32_t queue_limit = 64;  ///< Waiting leaf requests for each replica group.
   bool operator==(const service_policy&) const = default;
--- a/include/ibis/policy/leaf_pool.hpp
+++ b/include/ibis/policy/leaf_pool.hpp
@@ -35,7 +35,6 @@
   std::uint32_t ejection_failures = 5;  ///< In a row.
   base::milliseconds ejection_time{1000};
   base::milliseconds ejection_time_limit{30000};
-  bool round_robin = false;  ///< Takes replicas in turn; for comparisons.
 };
 
 /// One leaf as seen by this relay.
--- a/src/ibis/config/manifest.cpp
+++ b/src/ibis/config/manifest.cpp
@@ -31,6 +31,9 @@
 json write_policy(const service_policy& policy) {
   const bool latency_first = policy.mode == answer_mode::latency_first;
   return {{"mode", latency_first ? "latency_first" : "coverage_first"},
+          {"replica_choice", policy.replica_choice == replica_choice::round_robin
+                                 ? "round_robin"
+                                 : "least_wait"},
           {"min_coverage", policy.min_coverage},
           {"answer_by_ms", policy.answer_by.count()},
           {"default_timeout_ms", policy.default_timeout.count()},
--- a/src/ibis/config/parse.cpp
+++ b/src/ibis/config/parse.cpp
@@ -62,6 +62,14 @@
     fields.fail("mode",
                 "found '" + mode + "'; coverage_first or latency_first is allowed");
   }
+  std::string choice = "least_wait";
+  fields.read("replica_choice", choice);
+  if (choice == "round_robin") {
+    policy.replica_choice = replica_choice::round_robin;
+  } else if (choice != "least_wait") {
+    fields.fail("replica_choice",
+                "found '" + choice + "'; least_wait or round_robin is allowed");
+  }
   constexpr base::milliseconds shortest{1};
   fields.read("min_coverage", policy.min_coverage, 0.0, 1.0);
   fields.read("answer_by_ms", policy.answer_by, shortest, longest_timeout);
--- a/src/ibis/policy/block.cpp
+++ b/src/ibis/policy/block.cpp
@@ -684,7 +684,8 @@
   if (block.request.early_reply.count() > 0) {
     ctx.add_timer(block.request.early_reply, timer_kind::block_early_reply, id);
   }
-  if (!part.tuning.hedge || block.request.kind != request_kind::search) {
+  const bool hedges = part.tuning.hedge && block.service->policy.hedge_budget > 0;
+  if (!hedges || block.request.kind != request_kind::search) {
     return;
   }
   const base::duration delay = hedge_delay(part, *block.service);
--- a/src/ibis/policy/leaf_pool.cpp
+++ b/src/ibis/policy/leaf_pool.cpp
@@ -266,8 +266,9 @@
                const std::vector<std::string>& excluded, base::time_point now) {
   pick best{"", pick_failure::lost};
   double best_wait = 0;
-  const std::size_t offset =
-      pools.tuning.round_robin ? group.turn % group.leafs.size() : 0;
+  const bool in_turn =
+      group.service->policy.replica_choice == config::replica_choice::round_robin;
+  const std::size_t offset = in_turn ? group.turn % group.leafs.size() : 0;
   for (std::size_t i = 0; i < group.leafs.size(); ++i) {
     const std::string& name = group.leafs[(i + offset) % group.leafs.size()];
     const auto found = pools.leafs.find(name);
@@ -298,7 +299,7 @@
     }
     const double wait = expected_latency_us(pools, leaf, now) *
                         (static_cast<double>(leaf.in_flight) + 1.0);
-    if (best.leaf.empty() || (wait < best_wait && !pools.tuning.round_robin)) {
+    if (best.leaf.empty() || (wait < best_wait && !in_turn)) {
       best = {name, pick_failure::none};
       best_wait = wait;
     }
--- a/src/ibis/policy/query.cpp
+++ b/src/ibis/policy/query.cpp
@@ -210,7 +210,7 @@
   const base::block_call_id call =
       start_call(calls, *holder, std::move(request), id, index, ctx);
   block.live.push_back(call);
-  if (part.tuning.hedge) {
+  if (part.tuning.hedge && query.service->policy.hedge_budget > 0) {
     ctx.add_timer(call_hedge_delay(part.tuning, part.services[query.service->name]),
                   timer_kind::call_hedge, call.value);
   }
