--- /dev/null
+++ b/bench/bench_path.cpp
@@ -0,0 +1,291 @@
+/// What the path costs over real sockets: the latency that entry and relay add over
+/// asking a leaf directly, the processor time of the client's half of a leaf request,
+/// and of a frame between two processes.
+#include <httplib.h>       // for Client
+#include <sys/resource.h>  // for getrusage
+#include <time.h>          // for clock_gettime
+
+#include <CLI/CLI.hpp>  // for App
+
+#include <algorithm>            // for sort
+#include <asio/io_context.hpp>  // for io_context
+#include <cstdio>               // for printf
+#include <nlohmann/json.hpp>    // for json
+#include <thread>               // for thread
+
+#include "ibis/control/apply.hpp"            // for apply_plan
+#include "ibis/runtime/address.hpp"          // for parse_address
+#include "ibis/runtime/http_api.hpp"         // for http_api
+#include "ibis/runtime/leaf_protocol.hpp"    // for write_leaf_request
+#include "ibis/runtime/node_runner.hpp"      // for node_runner
+#include "ibis/runtime/peer_transport.hpp"   // for peer_transport
+#include "ibis/runtime/platform_client.hpp"  // for ask_platform_now
+#include "ibis/wire/codec.hpp"               // for encode
+#include "leaf_server.hpp"                   // for leaf_server
+#include "platform_server.hpp"               // for platform_server
+
+namespace {
+
+using namespace ibis;  // NOLINT(google-build-using-namespace)
+using std::chrono::milliseconds;
+
+constexpr const char* json_type = "application/json";
+constexpr std::size_t shards = 4;
+
+double thread_cpu_us() {
+  timespec now{};
+  clock_gettime(CLOCK_THREAD_CPUTIME_ID, &now);
+  return static_cast<double>(now.tv_sec) * 1e6 + static_cast<double>(now.tv_nsec) / 1e3;
+}
+
+double process_cpu_us() {
+  rusage usage{};
+  getrusage(RUSAGE_SELF, &usage);
+  return static_cast<double>(usage.ru_utime.tv_sec + usage.ru_stime.tv_sec) * 1e6 +
+         static_cast<double>(usage.ru_utime.tv_usec + usage.ru_stime.tv_usec);
+}
+
+double quantile(std::vector<double> values, double q) {
+  std::sort(values.begin(), values.end());
+  return values[static_cast<std::size_t>(q * static_cast<double>(values.size() - 1))];
+}
+
+std::unique_ptr<httplib::Client> make_client(const std::string& address) {
+  const auto target = runtime::parse_address(address).value();
+  auto client = std::make_unique<httplib::Client>(target.ip, target.port);
+  client->set_keep_alive(true);
+  client->set_tcp_nodelay(true);
+  return client;
+}
+
+struct stand_in_leaf {
+  std::shared_ptr<standins::leaf_model> model;
+  std::unique_ptr<standins::leaf_server> server;
+  std::string address;
+};
+
+stand_in_leaf start_leaf(std::chrono::microseconds service_time) {
+  standins::dataset_shape data;
+  data.shards = shards;
+  standins::leaf_shape shape;
+  shape.service_time = service_time;
+  shape.slots = 64;
+  stand_in_leaf leaf;
+  leaf.model =
+      std::make_shared<standins::leaf_model>(shape, standins::make_dataset(data));
+  leaf.server = std::make_unique<standins::leaf_server>(leaf.model, 40);
+  leaf.address = leaf.server->start("127.0.0.1", 0).value();
+  return leaf;
+}
+
+/// An entry or a relay within this process.
+class in_process_node {
+ public:
+  in_process_node(const config::process_settings& settings, policy::node_role role)
+      : runner_(settings, role), api_(runner_, role, 8) {
+    http = api_.bind("127.0.0.1", 0).value();
+    frames = runner_.listen(http).value();
+    strand_ = std::thread([this] { runner_.run([] {}); });
+    serving_ = std::thread([this] { api_.serve(); });
+  }
+  ~in_process_node() {
+    api_.stop();
+    runner_.stop();
+    serving_.join();
+    strand_.join();
+  }
+  in_process_node(const in_process_node&) = delete;
+  in_process_node& operator=(const in_process_node&) = delete;
+  std::string http;
+  std::string frames;
+
+ private:
+  runtime::node_runner runner_;
+  runtime::http_api api_;
+  std::thread strand_;
+  std::thread serving_;
+};
+
+config::process_settings make_settings(const std::string& platform) {
+  config::process_settings settings;
+  settings.vm = "vm";
+  settings.zone = "zone";
+  settings.entry_port = 0;
+  settings.relay_port = 0;
+  settings.platform = platform;
+  return settings;
+}
+
+void apply(const std::string& platform, const std::string& leaf) {
+  config::configuration wanted;
+  wanted.zones = {{"zone", ""}};
+  config::service service;
+  service.name = "search";
+  service.tenant = "tenant";
+  service.groups = {{0, shards - 1, {{"leaf", leaf, 8, 40}}}};
+  wanted.services["search"] = std::make_shared<const config::service>(service);
+  const auto ask = [&](const policy::call_platform& call) {
+    return runtime::ask_platform_now(platform, call);
+  };
+  const auto pause = [](milliseconds time) { std::this_thread::sleep_for(time); };
+  const auto planned =
+      control::make_plan(control::read_platform(ask, pause).value(), wanted);
+  control::apply_plan(planned.value(), {"bench", "bench", "token", 0, 0}, ask, pause)
+      .value();
+}
+
+std::string direct_body() {
+  policy::send_leaf_request request;
+  request.attempt = {1};
+  request.service = "search";
+  request.index_version = 1;
+  request.shards = {0, 1, 2, 3};
+  request.query = "R600a cyclopentane";
+  request.limit = 10;
+  request.budget = std::chrono::seconds(1);
+  return runtime::write_leaf_request(request);
+}
+
+/// Asks directly and through entry and relay in turn.
+void measure_added_latency(std::size_t pairs) {
+  standins::platform_server platform;
+  const std::string platform_address = platform.start("127.0.0.1", 0).value();
+  const stand_in_leaf leaf = start_leaf(std::chrono::microseconds(0));
+  apply(platform_address, leaf.address);
+  config::process_settings settings = make_settings(platform_address);
+  const in_process_node relay(settings, policy::node_role::relay);
+  settings.seeds = {{"vm", "zone", "", relay.frames}};
+  const in_process_node entry(settings, policy::node_role::entry);
+  const auto through = make_client(entry.http);
+  const auto direct = make_client(leaf.address);
+  const std::string query = R"({"query": "R600a cyclopentane", "limit": 10})";
+  const auto ask_entry = [&] {
+    return through->Post("/v1/services/search/query", query, json_type);
+  };
+  constexpr int http_ok = 200;
+  for (auto reply = ask_entry(); !reply || reply->status != http_ok;
+       reply = ask_entry()) {
+    std::this_thread::sleep_for(milliseconds(20));
+  }
+  const std::string body = direct_body();
+  std::vector<double> direct_us;
+  std::vector<double> through_us;
+  std::vector<double> added_us;
+  for (std::size_t i = 0; i < pairs; ++i) {
+    const auto start = std::chrono::steady_clock::now();
+    direct->Post(runtime::leaf_search_path, body, json_type);
+    const auto middle = std::chrono::steady_clock::now();
+    ask_entry();
+    const auto end = std::chrono::steady_clock::now();
+    direct_us.push_back(
+        std::chrono::duration<double, std::micro>(middle - start).count());
+    through_us.push_back(
+        std::chrono::duration<double, std::micro>(end - middle).count());
+    added_us.push_back(through_us.back() - direct_us.back());
+  }
+  std::printf(
+      "latency over %zu pairs: direct p50 %.0f us, through entry and relay p50 "
+      "%.0f us; added p50 %.0f us, p99 %.0f us\n",
+      pairs, quantile(direct_us, 0.5), quantile(through_us, 0.5),
+      quantile(added_us, 0.5), quantile(added_us, 0.99));
+}
+
+/// The client's half of a leaf request: writing, the library, parsing.
+void measure_leaf_client(std::size_t requests) {
+  const stand_in_leaf leaf = start_leaf(std::chrono::microseconds(0));
+  const auto client = make_client(leaf.address);
+  policy::send_leaf_request request;
+  request.attempt = {1};
+  request.service = "search";
+  request.index_version = 1;
+  request.query = "R600a cyclopentane";
+  request.limit = 10;
+  request.budget = std::chrono::seconds(1);
+  for (const std::size_t asked : {std::size_t{1}, shards}) {
+    request.shards.clear();
+    for (std::size_t shard = 0; shard < asked; ++shard) {
+      request.shards.push_back(static_cast<wire::shard_index>(shard));
+    }
+    const double before = thread_cpu_us();
+    std::size_t hits = 0;
+    for (std::size_t i = 0; i < requests; ++i) {
+      const auto reply = client->Post(runtime::leaf_search_path,
+                                      runtime::write_leaf_request(request), json_type);
+      const auto read = runtime::read_leaf_reply({1}, reply->status, reply->body);
+      hits += read.value().hits.size();
+    }
+    const auto count = static_cast<double>(requests);
+    std::printf(
+        "client's half of a leaf request: %.1f us of processor time, %.1f hits\n",
+        (thread_cpu_us() - before) / count, static_cast<double>(hits) / count);
+  }
+}
+
+wire::block_reply make_reply() {
+  wire::block_reply reply;
+  reply.call = {1};
+  for (wire::shard_index shard = 0; shard < 8; ++shard) {
+    reply.covered.push_back(shard);
+    reply.versions.push_back({shard, 1, 3});
+  }
+  for (int hit = 0; hit < 10; ++hit) {
+    reply.hits.push_back(
+        {"CZ-10042" + std::to_string(hit), 0.5, 1, std::string(180, 'x')});
+  }
+  return reply;
+}
+
+/// A block's reply from one transport to another and an answer back.
+void measure_frames(std::size_t rounds) {
+  asio::io_context io;
+  std::size_t left = rounds;
+  std::unique_ptr<runtime::peer_transport> first;
+  std::unique_ptr<runtime::peer_transport> second;
+  std::string first_address;
+  std::string second_address;
+  const auto no_error = [](const base::error&) {};
+  const auto no_loss = [](const std::string&) {};
+  const auto undelivered = [](const std::string&, const wire::message&) {};
+  const wire::message reply = make_reply();
+  first = std::make_unique<runtime::peer_transport>(
+      io, wire::hello{"a", "a", "z", "entry", "", wire::channel::data},
+      runtime::peer_hooks{[&](const std::string&, const wire::message&) {
+                            if (--left == 0) {
+                              io.stop();
+                              return;
+                            }
+                            first->send("b", wire::channel::data, second_address,
+                                        reply);
+                          },
+                          undelivered, no_loss, no_error});
+  second = std::make_unique<runtime::peer_transport>(
+      io, wire::hello{"b", "b", "z", "relay", "", wire::channel::data},
+      runtime::peer_hooks{[&](const std::string&, const wire::message&) {
+                            second->send("a", wire::channel::data, first_address,
+                                         reply);
+                          },
+                          undelivered, no_loss, no_error});
+  first_address = first->listen("127.0.0.1:0").value();
+  second_address = second->listen("127.0.0.1:0").value();
+  first->send("b", wire::channel::data, second_address, reply);
+  const double before = process_cpu_us();
+  io.run();
+  std::printf(
+      "frame of %zu bytes, encoded, sent, received and decoded: %.1f us of "
+      "processor time\n",
+      wire::encode(reply).size(),
+      (process_cpu_us() - before) / static_cast<double>(rounds * 2));
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  CLI::App app("Measures the path over real sockets on loopback.");
+  std::size_t pairs = 3000;
+  app.add_option("--pairs", pairs, "Pairs of direct and indirect requests");
+  CLI11_PARSE(app, argc, argv);
+  measure_added_latency(pairs);
+  measure_leaf_client(pairs * 4);
+  measure_frames(pairs * 10);
+  return 0;
+}
--- a/src/ibis/config/parse.cpp
+++ b/src/ibis/config/parse.cpp
@@ -242,12 +242,12 @@
     return bad_hour(text);
   }
   constexpr int tm_base_year = 1900;
-  const std::tm written = fields;
   fields.tm_year -= tm_base_year;
   fields.tm_mon -= 1;
+  const std::tm written = fields;
   const std::time_t local = timegm(&fields);
-  if (fields.tm_mday != written.tm_mday || fields.tm_hour != written.tm_hour ||
-      fields.tm_min != written.tm_min) {
+  if (fields.tm_mon != written.tm_mon || fields.tm_mday != written.tm_mday ||
+      fields.tm_hour != written.tm_hour || fields.tm_min != written.tm_min) {
     return bad_hour(text);
   }
   const auto offset =
--- /dev/null
+++ b/src/ibis/config/parse_test.cpp
@@ -0,0 +1,235 @@
+#include "ibis/config/parse.hpp"
+
+#include <catch2/catch.hpp>  // for TEST_CASE, CHECK
+
+#include "ibis/config/manifest.hpp"  // for split_parts, join_parts
+#include "ibis/config/settings.hpp"  // for parse_settings
+
+namespace ibis::config {
+namespace {
+
+const std::string valid = R"(
+availability_zones:
+  - {name: praha-a, region: bohemia}
+  - {name: brno-b}
+services:
+  registry-search:
+    tenant: chladivo
+    policy: {mode: latency_first, min_coverage: 0.9, answer_by_ms: 80}
+    leaf_defaults: {slots: 3, connections: 30}
+    groups:
+      - shards: {first: 0, last: 3}
+        leafs:
+          - {name: a1, address: "10.0.0.1:9000"}
+          - {name: a2, address: "10.0.0.2:9000", slots: 4}
+      - shards: {first: 4, last: 7}
+        leafs: [{name: b1, address: "10.0.0.3:9000"}]
+leaving:
+  a1: {leave_by: "2026-12-06T23:59:00+01:00"}
+)";
+
+document parse_text(const std::string& text, const std::string& file = "base.yaml") {
+  return parse_document(text, file).value();
+}
+
+std::string replaced(const std::string& from, const std::string& to) {
+  std::string text = valid;
+  const std::size_t at = text.find(from);
+  REQUIRE(at != std::string::npos);
+  return text.replace(at, from.size(), to);
+}
+
+TEST_CASE("A valid document fills the aggregates") {
+  const auto parsed = parse_configuration(parse_text(valid));
+  REQUIRE(parsed.errors.empty());
+  const service& found = *parsed.value.services.at("registry-search");
+  CHECK(found.tenant == "chladivo");
+  CHECK(found.policy.mode == answer_mode::latency_first);
+  CHECK(found.policy.answer_by == std::chrono::milliseconds(80));
+  CHECK(found.groups[0].leafs[0].slots == 3);
+  CHECK(found.groups[0].leafs[1].slots == 4);
+  CHECK(found.groups[1].leafs[0].connections == 30);
+  CHECK(shard_count(found) == 8);
+  CHECK(format_hour(parsed.value.leaving.at("a1")) == "2026-12-06T22:59:00Z");
+}
+
+struct wrong_document {
+  std::string from;
+  std::string to;
+  std::string error;  ///< The whole line.
+};
+
+TEST_CASE("Each error names file, line, path, what was found and what is allowed") {
+  const std::vector<wrong_document> table{
+      {"slots: 3", "slots: 0",
+       "base.yaml:9: services.registry-search.leaf_defaults.slots: found '0'; a number "
+       "from 1 to 1024 is allowed"},
+      {"slots: 3", "slots: many",
+       "base.yaml:9: services.registry-search.leaf_defaults.slots: found 'many'; a "
+       "number "
+       "from 1 to 1024 is allowed"},
+      {"mode: latency_first", "mode: fast",
+       "base.yaml:8: services.registry-search.policy.mode: found 'fast'; "
+       "coverage_first "
+       "or latency_first is allowed"},
+      {"min_coverage: 0.9", "min_coverage: 1.5",
+       "base.yaml:8: services.registry-search.policy.min_coverage: found '1.5'; a "
+       "number "
+       "from 0.000000 to 1.000000 is allowed"},
+      {"answer_by_ms", "anwser_by_ms",
+       "base.yaml:8: services.registry-search.policy.anwser_by_ms: unknown key; did "
+       "you "
+       "mean 'answer_by_ms'?"},
+      {"tenant: chladivo", "repeatable: true",
+       "base.yaml:7: services.registry-search.tenant: missing; a text is required"},
+      {"\"10.0.0.1:9000\"", "\"somewhere\"",
+       "base.yaml:13: services.registry-search.groups[0].leafs[0].address: found "
+       "'somewhere'; 'ip:port' is allowed"},
+      {"first: 4", "first: 5",
+       "base.yaml:11: services.registry-search.groups: shard 4 is held by no group"},
+      {"first: 4", "first: 3",
+       "base.yaml:11: services.registry-search.groups: shard 3 is held by two groups"},
+      {"name: brno-b", "name: praha-a",
+       "base.yaml:4: availability_zones[1].name: 'praha-a' is declared twice"},
+      {"+01:00", "",
+       "base.yaml:18: leaving.a1.leave_by: found '2026-12-06T23:59:00'; an hour with "
+       "its "
+       "offset, such as 2026-12-06T23:59:00+01:00, is allowed"},
+      {"[{name: b1, address: \"10.0.0.3:9000\"}]", "none",
+       "base.yaml:16: services.registry-search.groups[1].leafs: found 'none'; a list "
+       "is "
+       "allowed"},
+  };
+  for (const wrong_document& item : table) {
+    const auto parsed = parse_configuration(parse_text(replaced(item.from, item.to)));
+    INFO(item.from << " -> " << item.to);
+    REQUIRE_FALSE(parsed.errors.empty());
+    CHECK(describe(parsed.errors.front()) == item.error);
+  }
+}
+
+TEST_CASE("All errors are reported at once") {
+  std::string text = replaced("slots: 3", "slots: 0");
+  text.replace(text.find("0.9"), 3, "1.9");
+  CHECK(parse_configuration(parse_text(text)).errors.size() == 2);
+}
+
+TEST_CASE("An error at one key does not hide those at the next ones") {
+  const auto parsed = parse_settings(
+      parse_document("{vm: [], availability_zone: {}, http_threads: 1, platform: []}",
+                     "f")
+          .value());
+  CHECK(parsed.errors.size() == 4);
+}
+
+TEST_CASE("A leaf may be in one replica group only") {
+  const auto parsed = parse_configuration(parse_text(replaced("name: b1", "name: a1")));
+  REQUIRE(parsed.errors.size() == 1);
+  CHECK(parsed.errors.front().message == "leaf 'a1' is in more than one replica group");
+}
+
+TEST_CASE("An overlay merges maps, replaces lists and scalars, and deletes by null") {
+  const document base = parse_text(valid);
+  const document overlay = parse_text(R"(
+services:
+  registry-search:
+    policy: {answer_by_ms: 40}
+    leaf_defaults: ~
+availability_zones: [{name: only}]
+)",
+                                      "site.yaml");
+  const auto parsed = parse_configuration(merge_overlay(base, overlay));
+  REQUIRE(parsed.errors.empty());
+  const service& found = *parsed.value.services.at("registry-search");
+  CHECK(found.policy.answer_by == std::chrono::milliseconds(40));
+  CHECK(found.policy.min_coverage == 0.9);
+  CHECK(found.groups[0].leafs[0].slots == 2);
+  CHECK(parsed.value.zones.size() == 1);
+}
+
+TEST_CASE("An error in an overlay names the overlay's file") {
+  const document overlay = parse_text(
+      "services: {registry-search: {policy: {min_coverage: 7}}}", "site.yaml");
+  const auto parsed = parse_configuration(merge_overlay(parse_text(valid), overlay));
+  REQUIRE(parsed.errors.size() == 1);
+  CHECK(parsed.errors.front().file == "site.yaml");
+  CHECK(parsed.errors.front().line == 1);
+}
+
+TEST_CASE("What is not a map, or not YAML, is one clear error") {
+  CHECK(parse_document("- a\n- b", "x").error().detail == "the document must be a map");
+  CHECK(parse_document("a: [", "x").error().code == base::error_code::invalid_input);
+  CHECK(load_documents({"/nowhere/x.yaml"}).error().code ==
+        base::error_code::not_found);
+}
+
+TEST_CASE("Parts give back the configuration that they were made from") {
+  const auto parsed = parse_configuration(parse_text(valid));
+  const auto parts = split_parts(parsed.value);
+  manifest names;
+  part_store store;
+  for (const auto& [name, text] : parts) {
+    names.parts[name] = name;
+    store[name] = text;
+  }
+  const auto joined = join_parts(names, store, {}, {});
+  REQUIRE(joined);
+  CHECK(*joined.value().services.at("registry-search") ==
+        *parsed.value.services.at("registry-search"));
+  CHECK(joined.value().zones == parsed.value.zones);
+  CHECK(joined.value().leaving == parsed.value.leaving);
+  SECTION("an unchanged service is not parsed again") {
+    const auto again = join_parts(names, store, joined.value(), names.parts);
+    CHECK(again.value().services.at("registry-search") ==
+          joined.value().services.at("registry-search"));
+  }
+  SECTION("a missing part is named") {
+    store.erase("service/registry-search");
+    CHECK(join_parts(names, store, {}, {}).error().detail ==
+          "part 'service/registry-search' is missing");
+  }
+}
+
+TEST_CASE("A manifest survives writing, and a broken one is an error") {
+  manifest value;
+  value.generation = 7;
+  value.token = "t";
+  value.author = "anna";
+  value.note = "why";
+  value.applied_at_ms = 9;
+  value.parts = {{"zones", "abc"}};
+  value.history = {{6, "s", "ben", "before", 8}};
+  CHECK(read_manifest(write_manifest(value)).value() == value);
+  for (const char* broken : {"", "{}", "[]", "{\"generation\": \"x\"}", "null"}) {
+    CHECK_FALSE(read_manifest(broken));
+  }
+}
+
+TEST_CASE("Settings are checked") {
+  const auto parse = [](const std::string& text) {
+    return parse_settings(parse_text(text, "vm.yaml"));
+  };
+  const auto good = parse("{vm: a, availability_zone: z, platform: \"1.2.3.4:80\"}");
+  CHECK(good.errors.empty());
+  CHECK(good.value.entry_port == 7100);
+  const auto bad = parse(
+      "{vm: a, availability_zone: z, ports: {entry: 70000}, log: "
+      "{form: xml}, seedz: []}");
+  REQUIRE(bad.errors.size() == 4);
+  CHECK(describe(bad.errors[0]) ==
+        "vm.yaml:1: ports.entry: found '70000'; a number from 0 to 65535 is allowed");
+}
+
+TEST_CASE("Hours need an offset and must exist") {
+  CHECK(parse_hour("2026-12-06T23:59:00Z").value() ==
+        parse_hour("2026-12-07T00:59:00+01:00").value());
+  for (const char* wrong :
+       {"", "tomorrow", "2026-12-06", "2026-12-06T23:59:00", "2026-13-06T23:59:00Z",
+        "2026-12-32T23:59:00Z", "2026-12-06T25:59:00Z"}) {
+    INFO(wrong);
+    CHECK_FALSE(parse_hour(wrong));
+  }
+}
+
+}  // namespace
+}  // namespace ibis::config
--- a/src/ibis/config/reader.cpp
+++ b/src/ibis/config/reader.cpp
@@ -102,7 +102,7 @@
     : source_(&source), errors_(&errors), node_(node), path_(std::move(path)) {
   if (!node_.IsMap() && !node_.IsNull()) {
     fail_at(node_, path_, "found " + shown(node_) + "; a map is allowed");
-    node_ = YAML::Node();
+    node_.reset(YAML::Node());
   }
 }
 
@@ -138,7 +138,7 @@
   if (!key.empty() && node_.IsMap()) {
     const YAML::Node& view = node_;
     if (view[key]) {
-      at = view[key];
+      at.reset(view[key]);  // An assignment would change the document.
     }
   }
   fail_at(at, path_of(key), std::move(message));
