--- a/bench/capacity.sh
+++ b/bench/capacity.sh
@@ -12,8 +12,8 @@
 
 relay_us=${RELAY_US:-2.67}        # reducer, for a leaf request: bench_reducer
 entry_us=${ENTRY_US:-346.9}       # reducer, for a query of that fan-out: bench_reducer
-leaf_http_us=${LEAF_HTTP_US:-70}  # client's HTTP, for a leaf request: bench_path
-frame_us=${FRAME_US:-12}          # encode, send, receive, decode a block: bench_path
+leaf_http_us=${LEAF_HTTP_US:-205.3}  # client's HTTP, for a leaf request: bench_path
+frame_us=${FRAME_US:-11.2}        # encode, send, receive, decode a block: bench_path
 flight_bytes=${FLIGHT_BYTES:-898} # for a leaf request in flight: bench_reducer
 latency_ms=${LATENCY_MS:-10}      # of a leaf request, for what is in flight
 control_bytes=${CONTROL_BYTES:-1232}     # sent a second by a member: bench_control
--- a/bench/e2e.sh
+++ b/bench/e2e.sh
@@ -15,6 +15,7 @@
 out=${OUT:-$(mktemp -d)}
 mkdir -p "$out"
 handover_ms=1000
+fixed_ports=1
 http_threads=220
 
 if [ "$deployment" = chladivo ]; then
--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -54,13 +54,6 @@
 
 leaf_address() { value_of "$run/$1.addr" "$1"; }
 
-# port_of NAME WHICH: the port that a process had before, or 0.
-port_of() {
-  local address=""
-  [ -s "$run/$1.addr" ] && address=$(value_of "$run/$1.addr" "$2")
-  echo "${address##*:}" | sed 's/^$/0/'
-}
-
 # write_settings VM ZONE: a settings file whose seeds are the VMs that run already.
 write_settings() {
   local vm=$1 zone=$2 other
@@ -68,9 +61,12 @@
     echo "vm: $vm"
     echo "availability_zone: $zone"
     echo "platform: \"$platform\""
-    # A VM that is started again keeps the ports that it chose at first.
-    echo "ports: {entry: $(port_of "$vm-entry" frames), relay: $(port_of "$vm-relay" frames)," \
-      "entry_http: $(port_of "$vm-entry" http), relay_http: $(port_of "$vm-relay" http)}"
+    if [ "${fixed_ports:-}" = 1 ]; then
+      # Restarted VMs keep their addresses: an IP number of their own, the usual ports.
+      echo "ip: 127.77.0.${vm##*-}"
+    else
+      echo "ports: {entry: 0, relay: 0, entry_http: 0, relay_http: 0}"
+    fi
     echo "log: {form: json}"
     echo "http_threads: ${http_threads:-64}"
     echo "stop: {handover_ms: ${handover_ms:-1500}, limit_ms: 20000}"
