--- a/bench/bench_path.cpp
+++ b/bench/bench_path.cpp
@@ -13,21 +13,16 @@
 #include <nlohmann/json.hpp>    // for json
 #include <thread>               // for thread
 
-#include "ibis/control/apply.hpp"            // for apply_plan
-#include "ibis/runtime/address.hpp"          // for parse_address
-#include "ibis/runtime/http_api.hpp"         // for http_api
-#include "ibis/runtime/leaf_protocol.hpp"    // for write_leaf_request
-#include "ibis/runtime/node_runner.hpp"      // for node_runner
-#include "ibis/runtime/peer_transport.hpp"   // for peer_transport
-#include "ibis/runtime/platform_client.hpp"  // for ask_platform_now
-#include "ibis/wire/codec.hpp"               // for encode
-#include "leaf_server.hpp"                   // for leaf_server
-#include "platform_server.hpp"               // for platform_server
+#include "ibis/runtime/address.hpp"         // for parse_address
+#include "ibis/runtime/leaf_protocol.hpp"   // for write_leaf_request
+#include "ibis/runtime/peer_transport.hpp"  // for peer_transport
+#include "ibis/wire/codec.hpp"              // for encode
+#include "in_process_tier.hpp"              // for in_process_tier
+#include "leaf_server.hpp"                  // for leaf_server
 
 namespace {
 
 using namespace ibis;  // NOLINT(google-build-using-namespace)
-using std::chrono::milliseconds;
 
 constexpr const char* json_type = "application/json";
 constexpr std::size_t shards = 4;
@@ -78,62 +73,6 @@
   return leaf;
 }
 
-/// An entry or a relay within this process.
-class in_process_node {
- public:
-  in_process_node(const config::process_settings& settings, policy::node_role role)
-      : runner_(settings, role), api_(runner_, role, 8) {
-    http = api_.bind("127.0.0.1", 0).value();
-    frames = runner_.listen(http).value();
-    strand_ = std::thread([this] { runner_.run([] {}); });
-    serving_ = std::thread([this] { api_.serve(); });
-  }
-  ~in_process_node() {
-    api_.stop();
-    runner_.stop();
-    serving_.join();
-    strand_.join();
-  }
-  in_process_node(const in_process_node&) = delete;
-  in_process_node& operator=(const in_process_node&) = delete;
-  std::string http;
-  std::string frames;
-
- private:
-  runtime::node_runner runner_;
-  runtime::http_api api_;
-  std::thread strand_;
-  std::thread serving_;
-};
-
-config::process_settings make_settings(const std::string& platform) {
-  config::process_settings settings;
-  settings.vm = "vm";
-  settings.zone = "zone";
-  settings.entry_port = 0;
-  settings.relay_port = 0;
-  settings.platform = platform;
-  return settings;
-}
-
-void apply(const std::string& platform, const std::string& leaf) {
-  config::configuration wanted;
-  wanted.zones = {{"zone", ""}};
-  config::service service;
-  service.name = "search";
-  service.tenant = "tenant";
-  service.groups = {{0, shards - 1, {{"leaf", leaf, 8, 40}}}};
-  wanted.services["search"] = std::make_shared<const config::service>(service);
-  const auto ask = [&](const policy::call_platform& call) {
-    return runtime::ask_platform_now(platform, call);
-  };
-  const auto pause = [](milliseconds time) { std::this_thread::sleep_for(time); };
-  const auto planned =
-      control::make_plan(control::read_platform(ask, pause).value(), wanted);
-  control::apply_plan(planned.value(), {"bench", "bench", "token", 0, 0}, ask, pause)
-      .value();
-}
-
 std::string direct_body() {
   policy::send_leaf_request request;
   request.attempt = {1};
@@ -148,25 +87,13 @@
 
 /// Asks directly and through entry and relay in turn.
 void measure_added_latency(std::size_t pairs) {
-  standins::platform_server platform;
-  const std::string platform_address = platform.start("127.0.0.1", 0).value();
-  const stand_in_leaf leaf = start_leaf(std::chrono::microseconds(0));
-  apply(platform_address, leaf.address);
-  config::process_settings settings = make_settings(platform_address);
-  const in_process_node relay(settings, policy::node_role::relay);
-  settings.seeds = {{"vm", "zone", "", relay.frames}};
-  const in_process_node entry(settings, policy::node_role::entry);
-  const auto through = make_client(entry.http);
-  const auto direct = make_client(leaf.address);
+  const standins::in_process_tier tier;
+  const auto through = make_client(tier.entry->http);
+  const auto direct = make_client(tier.search_address);
   const std::string query = R"({"query": "R600a cyclopentane", "limit": 10})";
   const auto ask_entry = [&] {
     return through->Post("/v1/services/search/query", query, json_type);
   };
-  constexpr int http_ok = 200;
-  for (auto reply = ask_entry(); !reply || reply->status != http_ok;
-       reply = ask_entry()) {
-    std::this_thread::sleep_for(milliseconds(20));
-  }
   const std::string body = direct_body();
   std::vector<double> direct_us;
   std::vector<double> through_us;
--- a/bench/capacity.sh
+++ b/bench/capacity.sh
@@ -46,7 +46,7 @@
   printf "| entry, requests | %.0f queries in flight | %.0f block requests, as many replies | %.0f%% of a core | %.1f MB |\n", q * latency / 1000, blocks, entry_cpu, q * latency / 1000 * fan * flight / 1e6
   relay_cpu = leaf_requests * (relay_us + http_us) / 1e4 + blocks * 2 * frame_us / 1e4
   printf "| relay, requests | %.0f leaf requests in flight, %.0f connections and threads | %.0f leaf requests, %.0f blocks | %.0f%% of a core, of it the reducer %.0f%% | %.1f MB and %.0f MB of touched stacks |\n", leaf_requests * latency / 1000, held * connections, leaf_requests, blocks, relay_cpu, leaf_requests * relay_us / 1e4, leaf_requests * latency / 1000 * flight / 1e6, held * connections * 0.1
-  mcpu = cpu0 + cpu1 * members + cm * 4 * 30 / 1e4
+  mcpu = cpu0 + cpu1 * members + cm * 4 * frame_us / 1e4
   printf "| member, control (each process) | %d members, %d KB of parts | %.1f sent, as many received | %.2f%% of a core | %.1f MB |\n", members, part, cm, mcpu, (s0 + s1 * members + part * 2) / 1024
   printf "| node, control (both processes) | | %.1f sent | %.2f%% of a core (2.4%% allowed) | %.1f MB (256 allowed); %.1f KB/s sent, as much received (8 allowed) |\n", 2 * cm, 2 * mcpu, 2 * (s0 + s1 * members + part * 2) / 1024, 2 * cb / 1024
   printf "| watcher, beside that | a watch and a poll | %.2f calls of the platform | as a member | as a member |\n", calls / (2 * zones)
