--- a/bench/bench_path.cpp
+++ b/bench/bench_path.cpp
@@ -3,13 +3,13 @@
 /// and of a frame between two processes.
 #include <httplib.h>       // for Client
 #include <sys/resource.h>  // for getrusage
-#include <time.h>          // for clock_gettime
 
 #include <CLI/CLI.hpp>  // for App
 
 #include <algorithm>            // for sort
 #include <asio/io_context.hpp>  // for io_context
 #include <cstdio>               // for printf
+#include <ctime>                // for clock_gettime
 #include <nlohmann/json.hpp>    // for json
 #include <thread>               // for thread
 
--- a/src/programs/load_run.cpp
+++ b/src/programs/load_run.cpp
@@ -128,7 +128,7 @@
       worker.join();
     }
     auto result = load::summarize(experiment_.name, observations_);
-    const double needed = needed_requests_.load();
+    const auto needed = static_cast<double>(needed_requests_.load());
     if (needed > 0 && !targets_.leafs.empty()) {
       result.extra_load = (leaf_requests() - leaf_before) / needed - 1.0;
     }
--- a/standins/virtual_tier.cpp
+++ b/standins/virtual_tier.cpp
@@ -38,7 +38,7 @@
 
 std::string virtual_tier::add_node(const std::string& vm, const std::string& zone,
                                    policy::node_role role) {
-  const std::string name = policy::node_name(vm, role);
+  std::string name = policy::node_name(vm, role);
   virtual_node& node = nodes[name];
   node.identity.role = role;
   node.identity.vm = vm;
@@ -137,10 +137,10 @@
     return;
   }
   const auto begun = std::chrono::steady_clock::now();
-  policy::effects effects = policy::reduce(node.state, value, now_);
+  const policy::effects effects = policy::reduce(node.state, value, now_);
   node.reducing += std::chrono::steady_clock::now() - begun;
   ++node.events;
-  carry_out(name, std::move(effects));
+  carry_out(name, effects);
   arm(name);
 }
 
@@ -217,7 +217,7 @@
   return nullptr;
 }
 
-void virtual_tier::carry_out(const std::string& from, policy::effects effects) {
+void virtual_tier::carry_out(const std::string& from, const policy::effects& effects) {
   for (const policy::effect& effect : effects) {
     if (observe) {
       observe(from, effect);
--- a/standins/virtual_tier.hpp
+++ b/standins/virtual_tier.hpp
@@ -119,7 +119,7 @@
   void start(virtual_node& node);
   base::duration link_delay(const std::string& from, const std::string& to);
 
-  void carry_out(const std::string& from, policy::effects effects);
+  void carry_out(const std::string& from, const policy::effects& effects);
   void on(const std::string& from, const policy::answer_caller& effect);
   void on(const std::string& from, const policy::send_message& effect);
   void on(const std::string& from, const policy::reset_peer& effect);
