--- /dev/null
+++ b/examples/choose_holders.cpp
@@ -0,0 +1,19 @@
+/// Shows which relays hold a block, and what changes when one is lost.
+#include <iostream>  // for cout
+
+#include "ibis/config/declaration.hpp"  // for block_key
+#include "ibis/policy/directory.hpp"    // for holder_candidates
+
+int main() {
+  ibis::policy::directory nodes;
+  nodes.zone = "praha-a";
+  set_relays(nodes,
+             {{"praha-a", {"a-1/relay", "a-2/relay"}}, {"brno-b", {"b-1/relay"}}}, {});
+  const std::string key = ibis::config::block_key("registry-search", 0);
+  const std::string first = holder_candidates(nodes, key).front();
+  std::cout << key << " is asked at " << first << '\n';
+  const std::string other = first == "a-1/relay" ? "a-2/relay" : "a-1/relay";
+  set_relays(nodes, {{"praha-a", {other}}, {"brno-b", {"b-1/relay"}}}, {});
+  std::cout << "without it, at " << holder_candidates(nodes, key).front() << '\n';
+  return holder_candidates(nodes, key).front() == other ? 0 : 1;
+}
--- a/include/ibis/policy/block.hpp
+++ b/include/ibis/policy/block.hpp
@@ -2,7 +2,6 @@
 /// retries within budgets, and merges the replies into one.
 #pragma once
 
-#include <array>          // for array
 #include <cstdint>        // for uint32_t
 #include <deque>          // for deque
 #include <map>            // for map
@@ -13,9 +12,10 @@
 #include <utility>        // for pair
 #include <vector>         // for vector
 
-#include "ibis/policy/context.hpp"    // for context
-#include "ibis/policy/event.hpp"      // for leaf_replied
-#include "ibis/policy/leaf_pool.hpp"  // for leaf_pools
+#include "ibis/policy/context.hpp"        // for context
+#include "ibis/policy/event.hpp"          // for leaf_replied
+#include "ibis/policy/leaf_pool.hpp"      // for leaf_pools
+#include "ibis/policy/waiting_queue.hpp"  // for waiting_queue
 
 namespace ibis::policy {
 
@@ -72,18 +72,6 @@
   wire::block_reply reply;
 };
 
-/// A task that waits for a free place on one of its leafs.
-struct waiting_task {
-  std::uint64_t block = 0;
-  std::size_t task = 0;
-  base::time_point deadline{};
-};
-
-/// Tasks of a replica group by priority, the oldest first.
-struct waiting_queue {
-  std::array<std::deque<waiting_task>, 3> by_priority;
-};
-
 struct block_part {
   block_tuning tuning;
   leaf_pools pools;
--- a/src/ibis/policy/block.cpp
+++ b/src/ibis/policy/block.cpp
@@ -1,9 +1,11 @@
 #include "ibis/policy/block.hpp"
 
-#include <algorithm>  // for any_of, clamp, find, max, min, partial_sort
+#include <algorithm>  // for find, remove
 #include <utility>    // for move
 
-#include "ibis/base/hash.hpp"  // for hash64
+#include "ibis/base/hash.hpp"             // for hash64
+#include "ibis/policy/attempt_delay.hpp"  // for hedge_delay
+#include "ibis/policy/block_reply.hpp"    // for current_reply
 
 namespace ibis::policy {
 namespace {
@@ -19,10 +21,6 @@
   return found == part.blocks.end() ? nullptr : &found->second;
 }
 
-std::string key_of(const block_state& block, const group_task& task) {
-  return group_key(block.service->name, task.group);
-}
-
 missing_reason reason_of(pick_failure failure) {
   switch (failure) {
     case pick_failure::draining:
@@ -38,45 +36,6 @@
   return missing_reason::lost;
 }
 
-void sort_and_cut(std::vector<wire::hit>& hits, std::uint32_t limit) {
-  const auto better = [](const wire::hit& left, const wire::hit& right) {
-    return left.score != right.score ? left.score > right.score : left.id < right.id;
-  };
-  const std::size_t kept = std::min<std::size_t>(limit, hits.size());
-  std::partial_sort(hits.begin(), hits.begin() + static_cast<std::ptrdiff_t>(kept),
-                    hits.end(), better);
-  hits.resize(kept);
-}
-
-void add_versions(const block_part& part, const block_state& block,
-                  wire::block_reply& reply) {
-  for (const group_task& task : block.tasks) {
-    const auto pool = part.pools.groups.find(key_of(block, task));
-    if (pool == part.pools.groups.end()) {
-      continue;
-    }
-    if (const auto range = group_versions(part.pools, pool->second)) {
-      reply.versions.push_back(*range);
-    }
-  }
-}
-
-/// The reply as it stands; shards without an answer are named with their reasons.
-wire::block_reply current_reply(const block_part& part, const block_state& block,
-                                bool final) {
-  wire::block_reply reply = block.reply;
-  reply.final = final;
-  for (const group_task& task : block.tasks) {
-    for (const wire::shard_index shard : task.pending) {
-      reply.missing.push_back({shard, task.reason});
-    }
-    reply.may_have_run += static_cast<std::uint32_t>(task.live.size());
-  }
-  sort_and_cut(reply.hits, block.request.limit);
-  add_versions(part, block, reply);
-  return reply;
-}
-
 void cancel_attempt(block_part& part, base::attempt_id id, context& ctx) {
   attempt_state& attempt = part.attempts.at(id);
   attempt.block = 0;
@@ -93,21 +52,14 @@
 }
 
 /// Takes a task that nobody waits for any more out of its queue.
-void leave_queue(block_part& part, const block_state& block, std::uint64_t id,
+void leave_queue(block_part& part, const std::string& key, std::uint64_t id,
                  std::size_t index) {
-  const auto queue = part.queues.find(key_of(block, block.tasks[index]));
+  const auto queue = part.queues.find(key);
   if (queue == part.queues.end()) {
     return;
   }
-  const auto own = [&](const waiting_task& waiting) {
-    return waiting.block == id && waiting.task == index;
-  };
-  bool empty = true;
-  for (auto& tasks : queue->second.by_priority) {
-    tasks.erase(std::remove_if(tasks.begin(), tasks.end(), own), tasks.end());
-    empty = empty && tasks.empty();
-  }
-  if (empty) {
+  remove_task(queue->second, id, index);
+  if (queue_length(queue->second) == 0) {
     part.queues.erase(queue);
   }
 }
@@ -117,7 +69,7 @@
   for (std::size_t index = 0; index < block.tasks.size(); ++index) {
     const group_task& task = block.tasks[index];
     if (task.waiting) {
-      leave_queue(part, block, id, index);
+      leave_queue(part, key_of(block, task), id, index);
     }
     for (const base::attempt_id attempt : task.live) {
       cancel_attempt(part, attempt, ctx);
@@ -144,34 +96,6 @@
   close_task(block, task);
 }
 
-/// Just so late that the attempts still running are as many as the budget allows.
-base::duration hedge_delay(const block_part& part, const config::service& service) {
-  if (part.tuning.fixed_hedge_delay.count() != 0) {
-    return part.tuning.fixed_hedge_delay;
-  }
-  const auto learnt = part.pools.services.find(service.name);
-  if (learnt == part.pools.services.end()) {
-    return part.tuning.hedge_fallback;
-  }
-  const double hedged = service.policy.hedge_budget * part.tuning.planned_hedge_share;
-  return learnt->second.latencies.quantile(1.0 - hedged, part.tuning.hedge_fallback);
-}
-
-base::duration silent_delay(const block_part& part, const std::string& service) {
-  constexpr double high_quantile = 0.99;
-  const base::duration floor = part.tuning.silent_floor;
-  const base::duration ceiling = part.tuning.silent_ceiling;
-  const auto learnt = part.pools.services.find(service);
-  if (learnt == part.pools.services.end()) {
-    return floor;
-  }
-  const base::duration typical =
-      learnt->second.latencies.quantile(high_quantile, base::duration::zero());
-  const auto scaled = std::chrono::duration_cast<base::duration>(
-      std::chrono::duration<double, std::nano>(typical) * part.tuning.silent_factor);
-  return std::clamp(scaled, floor, ceiling);
-}
-
 void send_attempt(block_part& part, std::uint64_t block_id, std::size_t index,
                   const std::string& leaf_name, context& ctx) {
   block_state& block = part.blocks.at(block_id);
@@ -197,35 +121,6 @@
                         block.request.idempotency_key, block.deadline - ctx.now});
 }
 
-std::size_t queue_length(const waiting_queue& queue) {
-  std::size_t length = 0;
-  for (const auto& tasks : queue.by_priority) {
-    length += tasks.size();
-  }
-  return length;
-}
-
-/// The time that a new task would wait, from the leafs' latencies and limits.
-base::duration expected_wait(const block_part& part, const group_pool& pool,
-                             std::size_t length) {
-  double places = 0;
-  double latency_us = 0;
-  for (const std::string& name : pool.leafs) {
-    const auto leaf = part.pools.leafs.find(name);
-    if (leaf == part.pools.leafs.end() || leaf->second.open == 0) {
-      continue;
-    }
-    places += leaf->second.limit;
-    latency_us = std::max(latency_us, leaf->second.latency_us);
-  }
-  if (places == 0) {
-    return base::duration::zero();
-  }
-  const std::chrono::duration<double, std::micro> wait(
-      latency_us * static_cast<double>(length + 1) / places);
-  return std::chrono::duration_cast<base::duration>(wait);
-}
-
 /// Makes room by refusing a waiting task of a lower class.
 bool displace_lower(block_part& part, waiting_queue& queue, wire::priority priority,
                     context& ctx) {
@@ -255,7 +150,8 @@
   group_task& task = block.tasks[index];
   waiting_queue& queue = part.queues[key_of(block, task)];
   const std::size_t length = queue_length(queue);
-  const bool too_late = ctx.now + expected_wait(part, pool, length) > block.deadline;
+  const bool too_late =
+      ctx.now + expected_wait(part.pools, pool, length) > block.deadline;
   const bool full = length >= block.service->policy.queue_limit;
   if (too_late || (full && !displace_lower(part, queue, block.request.priority, ctx))) {
     ++ctx.shared.count.queue_refusals;
@@ -577,64 +473,6 @@
   finish_block(part, id, ctx);
 }
 
-std::vector<wire::shard_index> shards_of(const config::replica_group& group) {
-  std::vector<wire::shard_index> shards;
-  for (wire::shard_index shard = group.first_shard; shard <= group.last_shard;
-       ++shard) {
-    shards.push_back(shard);
-  }
-  return shards;
-}
-
-/// Answers a request that this relay cannot serve; the entry tries another one.
-void refuse(const std::string& peer, const wire::block_request& request,
-            const config::service* service, missing_reason reason, context& ctx) {
-  wire::block_reply reply;
-  reply.call = request.call;
-  reply.index_version = request.index_version;
-  for (const std::uint32_t group : request.groups) {
-    if (service == nullptr || group >= service->groups.size()) {
-      continue;
-    }
-    for (const wire::shard_index shard : shards_of(service->groups[group])) {
-      reply.missing.push_back({shard, reason});
-    }
-  }
-  ctx.send(peer, std::move(reply));
-}
-
-block_state make_block(const std::string& peer, const wire::block_request& request,
-                       std::shared_ptr<const config::service> service,
-                       base::time_point now) {
-  block_state block;
-  block.peer = peer;
-  block.request = request;
-  block.service = std::move(service);
-  block.started = now;
-  block.deadline = now + request.budget;
-  block.reply.call = request.call;
-  block.reply.index_version = request.index_version;
-  for (const std::uint32_t group : request.groups) {
-    group_task task;
-    task.group = group;
-    task.pending = request.kind == request_kind::submit
-                       ? std::vector<wire::shard_index>{request.shard}
-                       : shards_of(block.service->groups[group]);
-    block.tasks.push_back(std::move(task));
-  }
-  block.open_tasks = block.tasks.size();
-  return block;
-}
-
-bool groups_exist(const wire::block_request& request, const config::service& service) {
-  for (const std::uint32_t group : request.groups) {
-    if (group >= service.groups.size()) {
-      return false;
-    }
-  }
-  return !request.groups.empty();
-}
-
 /// Takes a request only the first time that its message arrives, so that what was
 /// answered as not run does not run later.
 bool is_repeated(block_part& part, const std::string& peer,
@@ -660,24 +498,6 @@
   return false;
 }
 
-/// The versions that the block's groups hold; a group without any is lost.
-wire::block_reply describe(const block_part& part, const block_state& block) {
-  wire::block_reply reply = block.reply;
-  add_versions(part, block, reply);
-  for (const group_task& task : block.tasks) {
-    const auto known = [&](const wire::version_range& range) {
-      return range.group == task.group;
-    };
-    if (std::any_of(reply.versions.begin(), reply.versions.end(), known)) {
-      continue;
-    }
-    for (const wire::shard_index shard : task.pending) {
-      reply.missing.push_back({shard, missing_reason::lost});
-    }
-  }
-  return reply;
-}
-
 void start_timers(const block_part& part, const block_state& block, std::uint64_t id,
                   context& ctx) {
   ctx.add_timer(block.request.budget, timer_kind::block_deadline, id);
@@ -704,11 +524,11 @@
   const auto service = find_service(ctx.shared.nodes, request.service);
   if (service == nullptr || !groups_exist(request, *service) ||
       !serves_any(part, request)) {
-    refuse(peer, request, service.get(), missing_reason::no_holder, ctx);
+    ctx.send(peer, refusal(request, service.get(), missing_reason::no_holder));
     return;
   }
   if (service->partition_epoch != request.partition_epoch) {
-    refuse(peer, request, service.get(), missing_reason::moved, ctx);
+    ctx.send(peer, refusal(request, service.get(), missing_reason::moved));
     return;
   }
   block_state block = make_block(peer, request, service, ctx.now);
--- a/src/ibis/policy/query.cpp
+++ b/src/ibis/policy/query.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>  // for clamp, partial_sort, remove, min
 #include <utility>    // for move
 
+#include "ibis/policy/hit_order.hpp"  // for keep_best
+
 namespace ibis::policy {
 namespace {
 
@@ -36,16 +38,6 @@
   ctx.out.emplace_back(answer_caller{request.caller, std::move(value)});
 }
 
-void sort_and_cut(std::vector<wire::hit>& hits, std::size_t limit) {
-  const auto better = [](const wire::hit& left, const wire::hit& right) {
-    return left.score != right.score ? left.score > right.score : left.id < right.id;
-  };
-  const std::size_t kept = std::min(limit, hits.size());
-  std::partial_sort(hits.begin(), hits.begin() + static_cast<std::ptrdiff_t>(kept),
-                    hits.end(), better);
-  hits.resize(kept);
-}
-
 std::size_t covered_count(const query_state& query) {
   std::size_t covered = 0;
   for (const query_block& block : query.blocks) {
@@ -90,7 +82,7 @@
     value.hits.insert(value.hits.end(), block.reply->hits.begin(),
                       block.reply->hits.end());
   }
-  sort_and_cut(value.hits, query.request.limit);
+  keep_best(value.hits, query.request.limit);
   return value;
 }
 
--- a/src/ibis/runtime/http_api.cpp
+++ b/src/ibis/runtime/http_api.cpp
@@ -5,6 +5,7 @@
 #include <future>   // for promise
 #include <utility>  // for move
 
+#include "ibis/runtime/http_bind.hpp"     // for bind_http
 #include "ibis/runtime/request_body.hpp"  // for parse_query
 
 namespace ibis::runtime {
@@ -17,7 +18,6 @@
 constexpr const char* problem_type = "application/problem+json";
 constexpr const char* text_type = "text/plain; version=0.0.4";
 constexpr int service_unavailable = 503;
-constexpr std::size_t most_requests_on_connection = 1'000'000'000;
 constexpr base::milliseconds longest_wait = std::chrono::seconds(310);
 
 std::optional<std::string> header(const Request& request, const char* name) {
@@ -133,10 +133,8 @@
       return new httplib::ThreadPool(threads);  // NOLINT(*-owning-memory)
     };
     server.set_payload_max_length(max_request_size);
-    server.set_keep_alive_max_count(most_requests_on_connection);
     server.set_keep_alive_timeout(60);
     server.set_read_timeout(std::chrono::seconds(5));
-    server.set_tcp_nodelay(true);
     server.set_error_handler([](const Request&, Response& response) {
       if (response.body.empty()) {
         set_problem(response,
@@ -160,17 +158,7 @@
 }
 
 base::result<std::string> http_api::bind(const std::string& ip, std::uint16_t port) {
-  int bound = port;
-  if (port == 0) {
-    bound = state_->server.bind_to_any_port(ip);
-  } else if (!state_->server.bind_to_port(ip, port)) {
-    bound = -1;
-  }
-  if (bound <= 0) {
-    return base::error{base::error_code::unavailable, "bind http",
-                       ip + ':' + std::to_string(port), "the address cannot be bound"};
-  }
-  return ip + ':' + std::to_string(bound);
+  return bind_http(state_->server, ip, port);
 }
 
 void http_api::serve() {
--- a/standins/leaf_server.cpp
+++ b/standins/leaf_server.cpp
@@ -1,12 +1,11 @@
 #include "leaf_server.hpp"
 
-#include <httplib.h>  // for Server
-
 #include <nlohmann/json.hpp>  // for json
 #include <set>                // for set
-#include <thread>             // for thread
+#include <thread>             // for sleep_for
 #include <utility>            // for move
 
+#include "http_host.hpp"                   // for http_host
 #include "ibis/runtime/leaf_protocol.hpp"  // for leaf_search_path
 
 namespace ibis::standins {
@@ -74,14 +73,14 @@
 
 struct leaf_server::state {
   std::shared_ptr<leaf_model> model;
-  httplib::Server server;
-  std::thread thread;
+  http_host host;
   std::mutex mutex;
   std::set<int> known_ports;   ///< Of connections that were seen.
   std::set<int> silent_ports;  ///< Of connections that never answer again.
   bool stopping = false;
 
-  explicit state(std::shared_ptr<leaf_model> given) : model(std::move(given)) {}
+  state(std::shared_ptr<leaf_model> given, std::size_t threads)
+      : model(std::move(given)), host(threads) {}
 
   /// Takes connection set-up and silence into account.
   /// @return False if the connection is silent; it then waits until it is closed.
@@ -174,7 +173,7 @@
 
   void add_route(const char* path,
                  const std::function<void(const json&, Response&)>& handle) {
-    server.Post(path, [this, handle](const Request& request, Response& response) {
+    host.server.Post(path, [this, handle](const Request& request, Response& response) {
       if (!admit(request)) {
         stay_silent();
         return;
@@ -204,15 +203,15 @@
       on_faults(body);
       response.set_content("{}", json_type);
     });
-    server.Get(runtime::leaf_status_path,
-               [this](const Request& request, Response& response) {
-                 if (!admit(request)) {
-                   stay_silent();
-                   return;
-                 }
-                 response.set_content(write_status(*model).dump(), json_type);
-               });
-    server.Get("/v1/stats", [this](const Request&, Response& response) {
+    host.server.Get(runtime::leaf_status_path,
+                    [this](const Request& request, Response& response) {
+                      if (!admit(request)) {
+                        stay_silent();
+                        return;
+                      }
+                      response.set_content(write_status(*model).dump(), json_type);
+                    });
+    host.server.Get("/v1/stats", [this](const Request&, Response& response) {
       const leaf_counts counts = model->counts();
       response.set_content(json{{"requests", counts.requests},
                                 {"ran", counts.ran},
@@ -222,21 +221,15 @@
                                .dump(),
                            json_type);
     });
-    server.Get("/v1/runs", [this](const Request&, Response& response) {
+    host.server.Get("/v1/runs", [this](const Request&, Response& response) {
       response.set_content(json(model->runs()).dump(), json_type);
     });
   }
 };
 
+// One more thread for those who switch faults.
 leaf_server::leaf_server(std::shared_ptr<leaf_model> model, std::size_t connections)
-    : state_(std::make_unique<state>(std::move(model))) {
-  // One more thread for those who switch faults.
-  state_->server.new_task_queue = [connections] {
-    return new httplib::ThreadPool(connections + 1);  // NOLINT(*-owning-memory)
-  };
-  state_->server.set_keep_alive_max_count(1'000'000'000);
-  state_->server.set_keep_alive_timeout(600);
-  state_->server.set_tcp_nodelay(true);
+    : state_(std::make_unique<state>(std::move(model), connections + 1)) {
   state_->add_routes();
 }
 
@@ -245,21 +238,7 @@
 }
 
 base::result<std::string> leaf_server::start(const std::string& ip, int port) {
-  int bound = port;
-  if (port == 0) {
-    bound = state_->server.bind_to_any_port(ip);
-  } else if (!state_->server.bind_to_port(ip, port)) {
-    bound = -1;
-  }
-  if (bound <= 0) {
-    return base::error{base::error_code::unavailable, "bind leaf", ip,
-                       "cannot be bound"};
-  }
-  state_->thread = std::thread([this] { state_->server.listen_after_bind(); });
-  while (!state_->server.is_running()) {
-    std::this_thread::sleep_for(base::milliseconds(1));
-  }
-  return ip + ':' + std::to_string(bound);
+  return state_->host.start(ip, port);
 }
 
 void leaf_server::stop() {
@@ -267,10 +246,7 @@
     const std::lock_guard lock(state_->mutex);
     state_->stopping = true;
   }
-  state_->server.stop();
-  if (state_->thread.joinable()) {
-    state_->thread.join();
-  }
+  state_->host.stop();
 }
 
 }  // namespace ibis::standins
--- a/standins/platform_server.cpp
+++ b/standins/platform_server.cpp
@@ -1,11 +1,11 @@
 #include "platform_server.hpp"
 
-#include <httplib.h>  // for Server
-
 #include <map>                // for map
+#include <mutex>              // for mutex
 #include <nlohmann/json.hpp>  // for json
-#include <thread>             // for thread
+#include <thread>             // for sleep_for
 
+#include "http_host.hpp"     // for http_host
 #include "object_store.hpp"  // for object_store
 
 namespace ibis::standins {
@@ -23,6 +23,7 @@
 constexpr int too_large = 413;
 constexpr int too_many = 429;
 constexpr int unavailable = 503;
+constexpr std::size_t server_threads = 128;
 constexpr std::size_t max_value_size = 1'000'000;
 
 struct platform_faults {
@@ -63,8 +64,7 @@
 
 struct platform_server::state {
   object_store store;
-  httplib::Server server;
-  std::thread thread;
+  http_host host{server_threads};
   std::mutex mutex;
   platform_faults faults;
   std::map<std::string, std::uint64_t> calls;
@@ -233,13 +233,13 @@
         (this->*handle)(request, response);
       };
     };
-    server.Get("/v1/objects", bind(&state::on_get));
-    server.Put("/v1/objects", bind(&state::on_put));
-    server.Delete("/v1/objects", bind(&state::on_delete));
-    server.Get("/v1/list", bind(&state::on_list));
-    server.Get("/v1/watch", bind(&state::on_watch));
-    server.Post("/v1/faults", bind(&state::on_faults));
-    server.Get("/v1/stats", [this](const Request&, Response& response) {
+    host.server.Get("/v1/objects", bind(&state::on_get));
+    host.server.Put("/v1/objects", bind(&state::on_put));
+    host.server.Delete("/v1/objects", bind(&state::on_delete));
+    host.server.Get("/v1/list", bind(&state::on_list));
+    host.server.Get("/v1/watch", bind(&state::on_watch));
+    host.server.Post("/v1/faults", bind(&state::on_faults));
+    host.server.Get("/v1/stats", [this](const Request&, Response& response) {
       const std::lock_guard lock(mutex);
       response.set_content(json(calls).dump(), json_type);
     });
@@ -247,13 +247,6 @@
 };
 
 platform_server::platform_server() : state_(std::make_unique<state>()) {
-  constexpr std::size_t threads = 128;
-  state_->server.new_task_queue = [] {
-    return new httplib::ThreadPool(threads);  // NOLINT(*-owning-memory)
-  };
-  state_->server.set_keep_alive_max_count(1'000'000'000);
-  state_->server.set_keep_alive_timeout(600);
-  state_->server.set_tcp_nodelay(true);
   state_->add_routes();
 }
 
@@ -262,29 +255,12 @@
 }
 
 base::result<std::string> platform_server::start(const std::string& ip, int port) {
-  int bound = port;
-  if (port == 0) {
-    bound = state_->server.bind_to_any_port(ip);
-  } else if (!state_->server.bind_to_port(ip, port)) {
-    bound = -1;
-  }
-  if (bound <= 0) {
-    return base::error{base::error_code::unavailable, "bind platform", ip,
-                       "cannot be bound"};
-  }
-  state_->thread = std::thread([this] { state_->server.listen_after_bind(); });
-  while (!state_->server.is_running()) {
-    std::this_thread::sleep_for(base::milliseconds(1));
-  }
-  return ip + ':' + std::to_string(bound);
+  return state_->host.start(ip, port);
 }
 
 void platform_server::stop() {
   state_->store.stop();
-  state_->server.stop();
-  if (state_->thread.joinable()) {
-    state_->thread.join();
-  }
+  state_->host.stop();
 }
 
 }  // namespace ibis::standins
