--- a/include/ibis/policy/platform_budget.hpp
+++ b/include/ibis/policy/platform_budget.hpp
@@ -28,7 +28,9 @@
 
 struct platform_tuning {
   double configuration_rate = 4.0;  ///< Calls a second, kept for configuration.
-  double claim_rate = 50.0;         ///< Calls a second for claims, for each entry.
+  double fleet_claim_rate =
+      350.0;                 ///< Calls a second for claims, all entries together.
+  double claim_rate = 50.0;  ///< This entry's share of it.
   double burst_seconds = 2.0;
   base::milliseconds timeout{2000};
 };
@@ -63,6 +65,9 @@
   base::duration timeout{0};  ///< 0 for the usual one.
 };
 
+/// Shares the fleet's calls for claims out among the live entries.
+void share_claim_calls(platform_tuning& tuning, std::size_t live_entries);
+
 /// Makes a call if its share of the budget allows it.
 /// @return Whether it was made.
 bool ask_platform(platform_part& part, platform_request request, context& ctx);
--- a/src/ibis/policy/node.cpp
+++ b/src/ibis/policy/node.cpp
@@ -47,6 +47,19 @@
   }
 }
 
+std::size_t live_entries(const membership_part& members) {
+  std::size_t count = 0;
+  const auto add = [&](const wire::member& record) {
+    const bool lives = record.status != wire::member_status::dead;
+    count += lives && record.role == to_string(node_role::entry) ? 1 : 0;
+  };
+  add(members.self);
+  for (const auto& [node, member] : members.members) {
+    add(member.record);
+  }
+  return count;
+}
+
 /// Carries changes of members and configuration over to routing.
 void settle(node_state& state, context& ctx) {
   if (refresh_leaving(state.shared.nodes, state.unix_time)) {
@@ -59,6 +72,7 @@
   state.members.changed = false;
   state.configuration.changed = false;
   refresh_routing(state, ctx);
+  share_claim_calls(state.platform.tuning, live_entries(state.members));
   if (members_changed && state.role == node_role::entry) {
     fail_calls_to_dead(state, ctx);
   }
--- a/src/ibis/policy/parts_test.cpp
+++ b/src/ibis/policy/parts_test.cpp
@@ -221,6 +221,20 @@
   }
 }
 
+TEST_CASE("The fleet's calls for claims stay the same however many entries live") {
+  for (const std::size_t entries : {1U, 7U, 920U}) {
+    platform_part part;
+    share_claim_calls(part.tuning, entries);
+    CHECK(part.tuning.claim_rate * static_cast<double>(entries) == Approx(350.0));
+    shared_state shared;
+    effects out;
+    context ctx{start_time, shared, out};
+    platform_request request;
+    request.purpose = platform_purpose::claim_create;
+    CHECK(ask_platform(part, request, ctx));
+  }
+}
+
 TEST_CASE("Claims cannot use up configuration's calls of the platform") {
   shared_state shared;
   effects out;
--- a/src/ibis/policy/platform_budget.cpp
+++ b/src/ibis/policy/platform_budget.cpp
@@ -1,6 +1,6 @@
 #include "ibis/policy/platform_budget.hpp"
 
-#include <algorithm>  // for min
+#include <algorithm>  // for max, min
 #include <utility>    // for move
 
 namespace ibis::policy {
@@ -12,7 +12,8 @@
 
 bool take(call_rate& rate, double per_second, double burst_seconds,
           base::time_point now) {
-  const double burst = per_second * burst_seconds;
+  // A small share must still let one call through now and then.
+  const double burst = std::max(1.0, per_second * burst_seconds);
   if (rate.filled_at == base::time_point{}) {
     rate = {burst, now};
   }
@@ -28,6 +29,11 @@
 
 }  // namespace
 
+void share_claim_calls(platform_tuning& tuning, std::size_t live_entries) {
+  const auto entries = static_cast<double>(std::max<std::size_t>(live_entries, 1));
+  tuning.claim_rate = tuning.fleet_claim_rate / entries;
+}
+
 bool ask_platform(platform_part& part, platform_request request, context& ctx) {
   const bool claim = is_claim(request.purpose);
   call_rate& rate = claim ? part.claims : part.configuration;
