--- a/include/ibis/reactor/node_loop.hpp
+++ b/include/ibis/reactor/node_loop.hpp
@@ -90,6 +90,9 @@
   /// Executes an effect if it concerns the store or peers.
   /// @return Whether it did.
   bool execute_store_or_peer_effect(const serving::effect& effect);
+  /// Executes an effect if it concerns shards that other nodes query.
+  /// @return Whether it did.
+  bool execute_shards_effect(const serving::effect& effect);
   void answer(serving::answer_caller& effect);
   void open_leaf_connection(const serving::open_connection& effect);
   void close_leaf_connection(base::connection_id id);
--- a/include/ibis/runtime/peer_transport.hpp
+++ b/include/ibis/runtime/peer_transport.hpp
@@ -68,6 +68,11 @@
   void send(const std::string& node, wire::channel channel, const std::string& address,
             wire::message body);
 
+  /// Opens a connection of the channel ahead of need, unless there is one.
+  /// @param address "ip:port".
+  void connect(const std::string& node, wire::channel channel,
+               const std::string& address);
+
   /// Closes all connections of a channel to a node, for example because it does not
   /// reply. Unsent messages are given to `on_undeliverable`.
   void reset(const std::string& node, wire::channel channel);
--- a/include/ibis/serving/attempt.hpp
+++ b/include/ibis/serving/attempt.hpp
@@ -36,11 +36,16 @@
 /// @return False if no leaf may take the task or the budget is exhausted.
 bool dispatch(pending_request& pending, std::size_t shard, context& ctx);
 
+/// Restricts the leafs of a task that another node may have sent or may send too.
+/// @param zone Availability zone of the node that has the client.
+void restrict_leafs(const pending_request& pending, task_state& task,
+                    const std::string& zone, context& ctx);
+
 /// Marks a task as done without an answer.
 void give_up_task(pending_request& pending, task_state& task);
 
-/// Whether the task has an attempt in flight, a connection opening for it, or a place
-/// in the queue for a free connection.
+/// Whether the task has an attempt in flight, a holder that is asked for it, a
+/// connection opening for it, or a place in the queue for a free connection.
 bool is_pending(const task_state& task);
 
 /// Handles the failure of an attempt: retries the task if that is safe and allowed,
--- a/include/ibis/serving/connections.hpp
+++ b/include/ibis/serving/connections.hpp
@@ -8,19 +8,6 @@
 
 namespace ibis::serving {
 
-/// This node's quota of the connections to a service. All nodes share the service's
-/// connection limit.
-struct connection_quota {
-  std::size_t to_service = 0;  ///< Connections to all leafs of the service together.
-  std::size_t to_leaf = 0;     ///< Connections to any one leaf.
-  std::size_t warm_leafs = 0;  ///< Leafs to keep connected before requests need them.
-};
-
-/// @return This node's quota for a service; all zeros if the configuration in force
-/// does not name the service or none of its leafs is known yet.
-connection_quota connection_quota_of(const node_state& node,
-                                     const std::string& service);
-
 /// Whether the quota and the leaf's reconnect backoff allow another connection now.
 bool can_open_connection(const node_state& node, const leaf_state& leaf,
                          base::time_point now);
@@ -59,6 +46,6 @@
 void maintain_connections(context& ctx);
 
 /// Whether each service either has its warm connections or cannot be reached.
-bool has_warm_connections(const node_state& node);
+bool has_warm_connections(const node_state& node, base::time_point now);
 
 }  // namespace ibis::serving
--- a/include/ibis/serving/effect.hpp
+++ b/include/ibis/serving/effect.hpp
@@ -12,7 +12,8 @@
 
 #include "ibis/base/id.hpp"        // for caller_id, connection_id
 #include "ibis/base/time.hpp"      // for duration
-#include "ibis/serving/event.hpp"  // for leaf_answer, store_topic
+#include "ibis/serving/event.hpp"  // for leaf_answer, peer, store_topic
+#include "ibis/wire/messages.hpp"  // for shards_request, shards_reply
 
 namespace ibis::serving {
 
@@ -115,6 +116,34 @@
   std::string node;
 };
 
+/// Opens a connection to a holder ahead of need, unless there is one.
+struct connect_peer {
+  peer to;
+};
+
+/// Asks a holder to query some shards.
+struct request_shards {
+  peer to;
+  wire::shards_request request;
+};
+
+/// Replies to another node's request for shards.
+struct reply_shards {
+  std::string node;
+  wire::shards_reply reply;
+};
+
+/// Tells a holder that the shards are no longer needed.
+struct cancel_shards {
+  std::string node;
+  base::block_call_id call;
+};
+
+/// Closes the connection to a holder that has stopped responding. `peer_lost` follows.
+struct reset_holder_connection {
+  std::string node;
+};
+
 /// Writes this node's record to the store, so that other nodes count it.
 struct register_node {};
 
@@ -163,9 +192,10 @@
 using effect =
     std::variant<answer_caller, open_connection, close_connection, send_to_leaf,
                  list_topic, watch_topic, cancel_store_call, query_peer, reply_to_peer,
-                 reset_peer_connection, register_node, count_nodes, unregister_node,
-                 probe_store, stop_accepting, log_line, record_request_end,
-                 finish_process>;
+                 reset_peer_connection, connect_peer, request_shards, reply_shards,
+                 cancel_shards, reset_holder_connection, register_node, count_nodes,
+                 unregister_node, probe_store, stop_accepting, log_line,
+                 record_request_end, finish_process>;
 /// Effects, in the order in which to carry them out.
 using effects = std::vector<effect>;
 
--- a/include/ibis/serving/event.hpp
+++ b/include/ibis/serving/event.hpp
@@ -17,6 +17,7 @@
 #include "ibis/serving/inbound_request.hpp"  // for inbound_request_ptr
 #include "ibis/serving/leaf_record.hpp"      // for leaf_record
 #include "ibis/serving/settings.hpp"         // for node_settings
+#include "ibis/wire/messages.hpp"            // for shards_request, shards_reply
 
 namespace ibis::serving {
 
@@ -152,6 +153,35 @@
   topic_changed update;
 };
 
+/// Another node asks this one, as a holder, to query some shards.
+struct shards_requested {
+  std::string node;
+  wire::shards_request request;
+};
+
+/// A holder replied to a request for shards.
+struct shards_replied {
+  std::string node;
+  wire::shards_reply reply;
+};
+
+/// Another node no longer needs the shards that it asked for.
+struct shards_cancelled {
+  std::string node;
+  base::block_call_id call;
+};
+
+/// A request for shards was not sent, since the holder cannot be reached.
+struct shards_undeliverable {
+  std::string node;
+  base::block_call_id call;
+};
+
+/// A connection for shard requests to another node ended or could not be opened.
+struct peer_lost {
+  std::string node;
+};
+
 /// The settings file was reloaded. Addresses are not part of `node_settings`.
 struct settings_changed {
   node_settings settings;
@@ -166,7 +196,8 @@
 /// The process was asked to stop gracefully.
 struct stop_requested {};
 
-/// Time has passed. Due timers fire, as they do before any other event.
+/// Time has passed: due timers fire. They do so only on this event, so that answers
+/// which arrived while the process was not running are handled before their timeouts.
 struct tick {};
 
 /// Any event.
@@ -174,6 +205,8 @@
     std::variant<request_arrived, caller_disconnected, connection_opened,
                  connection_failed, connection_lost, leaf_answered, topic_listed,
                  topic_changed, store_call_failed, nodes_counted, peer_query_received,
-                 peer_replied, settings_changed, store_probed, stop_requested, tick>;
+                 peer_replied, shards_requested, shards_replied, shards_cancelled,
+                 shards_undeliverable, peer_lost, settings_changed, store_probed,
+                 stop_requested, tick>;
 
 }  // namespace ibis::serving
--- a/include/ibis/serving/leaf_state.hpp
+++ b/include/ibis/serving/leaf_state.hpp
@@ -34,6 +34,7 @@
   std::uint64_t key = 0;  ///< Identifies this incarnation within the process.
   leaf_registration registration = leaf_registration::active;
   base::time_point remove_at{};    ///< When a leaf with an expired record is removed.
+  base::time_point joined_at{};    ///< When this node learned of it.
   bool instance_mismatch = false;  ///< A different leaf answered at its address.
 
   std::vector<base::connection_id> idle;  ///< Sorted by last use, oldest first.
--- a/include/ibis/serving/node.hpp
+++ b/include/ibis/serving/node.hpp
@@ -21,7 +21,7 @@
 /// Starts a node's timers and begins to follow the store. Must be called exactly once.
 effects start(node_state& node, base::time_point now);
 
-/// Processes the due timers and then one event.
+/// Processes one event. Due timers fire on a `tick` only.
 ///
 /// @param node Updated in place, since copying it would cost more than the decisions.
 /// @param now Time of the event; must never go backwards.
--- a/include/ibis/serving/pending_request.hpp
+++ b/include/ibis/serving/pending_request.hpp
@@ -10,6 +10,10 @@
 /// possible.
 void on_request(const request_arrived& event, context& ctx);
 
+/// Starts the tasks of a request whose route and deadlines are set, for a client or for
+/// another node.
+void start_request(pending_request&& pending, context& ctx);
+
 /// Removes a request whose client disconnected, and schedules the closing of the
 /// connections on which it is still in flight.
 void on_caller_disconnected(base::caller_id caller, context& ctx);
--- a/include/ibis/serving/settings.hpp
+++ b/include/ibis/serving/settings.hpp
@@ -102,6 +102,30 @@
   std::size_t history_bytes = 262144;  ///< Size of the changes kept for each topic.
 };
 
+/// Settings of holders: the nodes that hold the connections to a shard for all others.
+struct holder_settings {
+  /// Every node connects to the leafs of a shard itself if it may have at least this
+  /// many connections to them. With fewer, there is none left for hedges.
+  std::size_t min_own_connections = 4;
+  std::size_t block_shards = 12;  ///< Shards that have the same holders.
+  std::size_t per_zone = 2;       ///< Holders of a block in an availability zone.
+  /// Share of the route's objective after which a holder replies with what it has, and
+  /// after which one that does not is taken for dead.
+  double progress_share = 0.35;
+  /// Longest time that a reply travels, subtracted from the time left for the shards.
+  base::milliseconds same_zone_margin{3};
+  base::milliseconds other_zone_margin{8};
+  /// How long a holder is avoided after a failure; doubled after each further one.
+  base::milliseconds backoff{250};
+  base::milliseconds backoff_limit{16000};
+  base::milliseconds silent_backoff{1000};   ///< At least, if it did not reply in time.
+  base::milliseconds leaving_backoff{8000};  ///< If it is stopping.
+  /// How long a node that was asked for a shard keeps the quota of a holder.
+  base::milliseconds held_for{20000};
+  /// Idle timeout of the connection of a node that is no holder.
+  base::milliseconds own_idle_limit{2000};
+};
+
 /// Durations of the phases of a graceful stop.
 struct stop_settings {
   /// How long requests are still accepted, until the load balancer notices.
@@ -120,6 +144,7 @@
   leaf_settings leafs;
   store_settings store;
   peer_settings peers;
+  holder_settings holders;
   stop_settings stop;
   extra_budget_settings budget;  ///< For all nodes together.
   /// Time that a request and its answer travel between client and node; subtracted from
@@ -130,6 +155,8 @@
   base::milliseconds default_timeout{5000};  ///< If the client states no deadline.
   /// The node is ready after this time even if its warm connections are not open yet.
   base::milliseconds max_warm_up_wait{700};
+  /// All nodes start for the first time, so that the first count of them is too low.
+  bool first_start = false;
   std::string node;  ///< This node's name; if empty, it queries no peers.
   std::string availability_zone;
 };
--- a/include/ibis/serving/state.hpp
+++ b/include/ibis/serving/state.hpp
@@ -5,19 +5,22 @@
 #include <cstddef>        // for size_t
 #include <cstdint>        // for uint64_t
 #include <deque>          // for deque
+#include <map>            // for map
 #include <memory>         // for shared_ptr
+#include <optional>       // for optional
 #include <random>         // for minstd_rand
 #include <string>         // for string
 #include <unordered_map>  // for unordered_map
-#include <utility>        // for move
+#include <utility>        // for move, pair
 #include <vector>         // for vector
 
-#include "ibis/base/id.hpp"                // for caller_id, connection_id
+#include "ibis/base/id.hpp"                // for block_call_id, caller_id
 #include "ibis/base/timer_queue.hpp"       // for basic_timer_queue
 #include "ibis/policy/latency_window.hpp"  // for latency_window
 #include "ibis/serving/catalog.hpp"        // for catalog_ptr
 #include "ibis/serving/effect.hpp"         // for effects
 #include "ibis/serving/extra_budget.hpp"   // for extra_budget
+#include "ibis/serving/holders.hpp"        // for holder_table, holder_health
 #include "ibis/serving/leaf_state.hpp"     // for leaf_state, connection_state
 #include "ibis/serving/settings.hpp"       // for node_settings
 
@@ -50,9 +53,12 @@
   /// Treats a listing that may be stale as current if the node is watching by then.
   /// Subject: topic.
   stale_listing_caught_up,
-  count_nodes,     ///< Counts the nodes in the store.
-  probe_store,     ///< Probes the store if this node depends on it.
-  peer_wait,       ///< A held query of a peer must be answered.
+  count_nodes,  ///< Counts the nodes in the store.
+  probe_store,  ///< Probes the store if this node depends on it.
+  peer_wait,    ///< A held query of a peer must be answered.
+  /// Replies to another node with the shards that have answered. Subject: request.
+  progress_reply,
+  holder_silent,   ///< A holder must have replied. Subject: shard call.
   stop_accepting,  ///< Stops taking new requests during a graceful stop.
   stop_check,      ///< Checks whether a graceful stop is complete.
 };
@@ -65,24 +71,39 @@
 struct task_state {
   std::string service;
   std::vector<std::uint64_t> tried_leafs;  ///< Keys of the leafs it was sent to.
+  /// Keys of the leafs that may get it if another node may send it too. Empty for any.
+  std::vector<std::uint64_t> leaf_subset;
   /// Connections on which it is in flight.
   std::vector<base::connection_id> active_connections;
-  std::uint32_t sent = 0;     ///< How often it was sent.
+  std::vector<base::block_call_id> active_calls;  ///< Holders that are asked for it.
+  std::uint32_t sent = 0;     ///< How often it was sent, or a holder asked.
   std::uint32_t opening = 0;  ///< Connections being opened for it.
   bool waiting = false;       ///< It is in its service's queue.
   bool done = false;          ///< It was answered or given up.
   bool hedged = false;        ///< A hedge was started while an attempt was unanswered.
+  bool reported = false;      ///< The node that asked for it knows its outcome.
   bool may_have_run = false;  ///< A leaf may have executed it, though without success.
   std::shared_ptr<leaf_answer> part;     ///< The answer of a shard of a fan-out.
   std::shared_ptr<leaf_answer> failure;  ///< The latest failure answered by a leaf.
 };
 
-/// A client's request that has not been answered yet.
+/// Another node on whose behalf this node queries shards.
+struct remote_caller {
+  std::string node;
+  base::block_call_id call;
+  std::string availability_zone;
+  bool repeated = false;  ///< See `wire::shards_request::repeated`.
+};
+
+/// A request of a client, or of another node, that has not been answered yet.
 struct pending_request {
   base::caller_id caller;
   inbound_request_ptr request;
   catalog_ptr configuration;
-  const serving::route* route = nullptr;  ///< Points into `configuration`.
+  /// Points into `configuration` or to `own_route`.
+  const serving::route* route = nullptr;
+  std::shared_ptr<const serving::route> own_route;  ///< Of another node's request.
+  std::optional<remote_caller> remote;  ///< The node that asked, if it was no client.
   base::time_point arrived{};
   base::time_point deadline{};  ///< When the client stops waiting.
   /// The earlier of `deadline` and the route's timeout.
@@ -98,6 +119,15 @@
   bool objective_passed = false;  ///< `objective_deadline` has passed.
 };
 
+/// Shards of a request that a holder was asked to query.
+struct shard_call {
+  base::caller_id caller;
+  peer holder;
+  std::vector<std::size_t> tasks;  ///< Task indices, in the order of the request.
+  std::vector<std::string> asked;  ///< All nodes that were asked for these tasks.
+  bool replied = false;            ///< The holder has sent a reply, final or not.
+};
+
 /// A task that waits for a leaf with capacity.
 struct waiting_task {
   base::caller_id caller;
@@ -109,6 +139,8 @@
   std::vector<leaf_ptr> leafs;
   std::deque<waiting_task> waiting;
   extra_budget budget;
+  /// Until when this node counts as a holder, since another node has asked it.
+  base::time_point held_until{};
 };
 
 /// Measurements of a route.
@@ -175,12 +207,20 @@
   std::uint64_t peer_questions = 0;
   std::uint64_t peer_failures = 0;
   std::uint64_t catalogs = 0;
+  std::uint64_t shard_calls = 0;           ///< Requests for shards to holders.
+  std::uint64_t shard_calls_repeated = 0;  ///< Of them, after a holder was lost.
+  std::uint64_t holders_silent = 0;
+  std::uint64_t shards_served = 0;  ///< Requests for shards from other nodes.
 };
 
 /// Number of nodes assumed until they are counted. It is high, so that a new node
 /// claims little of the limits that all nodes share.
 inline constexpr std::size_t initial_node_estimate = 11;
 
+/// When the nodes are counted for the second time: late enough for nodes that started
+/// together to have written their records.
+inline constexpr base::milliseconds second_count_delay{3000};
+
 /// All state of a node. Only the reducer changes it.
 struct node_state {
   node_settings settings;
@@ -200,6 +240,12 @@
   /// Until when each peer is avoided, by name.
   std::unordered_map<std::string, base::time_point> avoided_peers;
   std::vector<waiting_peer> waiting_peers;
+  holder_table holders;
+  bool holders_outdated = false;  ///< What `holders` is made from has changed.
+  std::unordered_map<std::string, serving::holder_health> holder_health;  ///< By name.
+  std::unordered_map<base::block_call_id, shard_call> shard_calls;
+  /// Requests of other nodes, by the node's name and its call.
+  std::map<std::pair<std::string, base::block_call_id>, base::caller_id> remote_callers;
   bool registered = false;  ///< This node wrote its record or found it.
   stop_state stop;
   base::basic_timer_queue<timer_kind> timers;
@@ -230,9 +276,4 @@
 /// @return A random number in [0, 1).
 double random_fraction(node_state& node);
 
-/// @return This node's share of the extra-request budget of all nodes. A process that
-/// has just started gets little slack, since it does not know what it spent before a
-/// restart.
-extra_budget_settings node_budget(const node_state& node, base::time_point now);
-
 }  // namespace ibis::serving
--- a/include/ibis/wire/messages.hpp
+++ b/include/ibis/wire/messages.hpp
@@ -208,9 +208,65 @@
   bool operator==(const topic_news&) const = default;
 };
 
+/// Asks another node to query some shards of a fan-out request, since it holds the
+/// connections to their leafs. The node replies with one `shards_reply` or more. A
+/// `block_cancel` with the same call cancels it.
+struct shards_request {
+  base::block_call_id call;
+  std::string route;   ///< Name of the matched route.
+  std::string method;  ///< Of the client's request, as are the next five.
+  std::string target;  ///< Path and query.
+  std::string host;
+  std::string request_id;  ///< Chosen by the client.
+  std::string head;        ///< Request line and header fields for leafs, serialized.
+  std::string body;
+  std::vector<std::string> shards;  ///< Services to query, one leaf of each.
+  std::uint32_t top = 0;            ///< Maximum number of records in a reply.
+  double min_shard_share = 0;       ///< Share of the shards that the request needs.
+  std::uint32_t max_leafs = 1;      ///< Different leafs that may get a shard's request.
+  std::uint32_t priority = 0;       ///< 0 is the most urgent.
+  base::microseconds objective{0};  ///< Target latency of the route.
+  /// Delay after which the node replies with what it has, even if that is nothing.
+  base::microseconds progress{0};
+  /// Delay after which the node replies with what it has, and then with each further
+  /// shard at once.
+  base::microseconds reply{0};
+  base::microseconds remaining{0};  ///< Time left until the request's deadline.
+  std::string availability_zone;    ///< Of the node that has the client.
+  /// The shards may have been queried for this request before, through another node.
+  bool repeated = false;
+  bool operator==(const shards_request&) const = default;
+};
+
+/// A shard whose answer is in a `shards_reply`.
+struct covered_shard {
+  std::uint32_t index = 0;  ///< Index into `shards_request::shards`.
+  std::string signature;    ///< The leaf's signature of its answer.
+  bool operator==(const covered_shard&) const = default;
+};
+
+/// A shard that the node has given up.
+struct failed_shard {
+  std::uint32_t index = 0;  ///< Index into `shards_request::shards`.
+  bool sent = false;        ///< Whether a leaf may have executed the request.
+  bool operator==(const failed_shard&) const = default;
+};
+
+/// Replies to a `shards_request`. Each reply has only what the earlier ones had not.
+struct shards_reply {
+  base::block_call_id call;
+  bool final = true;     ///< No other reply follows.
+  bool leaving = false;  ///< The node is stopping and should not be asked again.
+  std::vector<covered_shard> covered;
+  std::vector<failed_shard> failed;
+  std::string records;  ///< The greatest records of the covered shards, merged.
+  bool operator==(const shards_reply&) const = default;
+};
+
 /// Any message.
-using message = std::variant<hello, block_request, block_reply, block_cancel, probe,
-                             probe_ack, probe_request, part_request, part_reply,
-                             generation_ack, topic_watch, topic_news>;
+using message =
+    std::variant<hello, block_request, block_reply, block_cancel, probe, probe_ack,
+                 probe_request, part_request, part_reply, generation_ack, topic_watch,
+                 topic_news, shards_request, shards_reply>;
 
 }  // namespace ibis::wire
--- a/src/ibis/reactor/node_loop.cpp
+++ b/src/ibis/reactor/node_loop.cpp
@@ -244,6 +244,24 @@
   }
 }
 
+bool node_loop::execute_shards_effect(const serving::effect& effect) {
+  if (const auto* request = std::get_if<serving::request_shards>(&effect)) {
+    peers_->send_shards_request(*request);
+  } else if (const auto* reply = std::get_if<serving::reply_shards>(&effect)) {
+    peers_->send_shards_reply(*reply);
+  } else if (const auto* cancel = std::get_if<serving::cancel_shards>(&effect)) {
+    peers_->send_cancel(*cancel);
+  } else if (const auto* connect = std::get_if<serving::connect_peer>(&effect)) {
+    peers_->connect(*connect);
+  } else if (const auto* reset =
+                 std::get_if<serving::reset_holder_connection>(&effect)) {
+    peers_->reset_connection(*reset);
+  } else {
+    return false;
+  }
+  return true;
+}
+
 bool node_loop::execute_store_or_peer_effect(const serving::effect& effect) {
   if (const auto* list = std::get_if<serving::list_topic>(&effect)) {
     store_->list(*list);
@@ -272,7 +290,7 @@
 }
 
 void node_loop::execute(serving::effect& effect) {
-  if (execute_store_or_peer_effect(effect)) {
+  if (execute_store_or_peer_effect(effect) || execute_shards_effect(effect)) {
     return;
   }
   if (auto* answered = std::get_if<serving::answer_caller>(&effect)) {
@@ -373,8 +391,12 @@
     if (ec) {
       return;
     }
-    timer_armed_ = false;
-    dispatch_event(serving::tick{});
+    // Handlers of data that has arrived are queued by now. They run first, so that a
+    // process that was stalled does not take its peers for late.
+    asio::post(io_, [this] {
+      timer_armed_ = false;
+      dispatch_event(serving::tick{});
+    });
   });
 }
 
--- a/src/ibis/reactor/peer_link.cpp
+++ b/src/ibis/reactor/peer_link.cpp
@@ -51,20 +51,44 @@
     on_message(node, body);
   };
   hooks.on_undeliverable = [this](const std::string& node, const wire::message& body) {
-    // Undeliverable replies need no handling: the peer notices that its reply is
-    // missing and requests the changes elsewhere.
-    if (const auto* watch = std::get_if<wire::topic_watch>(&body)) {
-      on_event_(make_unreachable_event(node, watch->serial, watch->topic));
-    }
+    on_undeliverable(node, body);
+  };
+  hooks.on_lost = [this](const std::string& node) {
+    on_event_(serving::peer_lost{node});
   };
-  hooks.on_lost = [](const std::string& /*node*/) {};
   hooks.on_error = [](const base::error& error) {
     write_log({"peer_connection_failed", true, {{"detail", base::describe(error)}}});
   };
   return hooks;
 }
 
+void peer_link::on_undeliverable(const std::string& node, const wire::message& body) {
+  // Undeliverable replies need no handling: the peer notices that its reply is missing
+  // and asks elsewhere.
+  if (const auto* watch = std::get_if<wire::topic_watch>(&body)) {
+    on_event_(make_unreachable_event(node, watch->serial, watch->topic));
+  } else if (const auto* request = std::get_if<wire::shards_request>(&body)) {
+    on_event_(serving::shards_undeliverable{node, request->call});
+  }
+}
+
+bool peer_link::on_shards_message(const std::string& node, const wire::message& body) {
+  if (const auto* request = std::get_if<wire::shards_request>(&body)) {
+    on_event_(serving::shards_requested{node, *request});
+  } else if (const auto* reply = std::get_if<wire::shards_reply>(&body)) {
+    on_event_(serving::shards_replied{node, *reply});
+  } else if (const auto* cancel = std::get_if<wire::block_cancel>(&body)) {
+    on_event_(serving::shards_cancelled{node, cancel->call});
+  } else {
+    return false;
+  }
+  return true;
+}
+
 void peer_link::on_message(const std::string& node, const wire::message& body) {
+  if (on_shards_message(node, body)) {
+    return;
+  }
   const auto* watch = std::get_if<wire::topic_watch>(&body);
   if (watch != nullptr && watch->topic < serving::store_topic_count) {
     on_event_(serving::peer_query_received{
@@ -122,6 +146,28 @@
   transport_.send(effect.node, wire::channel::control, "", std::move(update));
 }
 
+void peer_link::connect(const serving::connect_peer& effect) {
+  transport_.connect(effect.to.node, wire::channel::data, effect.to.address);
+}
+
+void peer_link::send_shards_request(const serving::request_shards& effect) {
+  transport_.send(effect.to.node, wire::channel::data, effect.to.address,
+                  effect.request);
+}
+
+void peer_link::send_shards_reply(const serving::reply_shards& effect) {
+  transport_.send(effect.node, wire::channel::data, "", effect.reply);
+}
+
+void peer_link::send_cancel(const serving::cancel_shards& effect) {
+  transport_.send(effect.node, wire::channel::data, "",
+                  wire::block_cancel{effect.call});
+}
+
+void peer_link::reset_connection(const serving::reset_holder_connection& effect) {
+  transport_.reset(effect.node, wire::channel::data);
+}
+
 void peer_link::reset_connection(const serving::reset_peer_connection& effect) {
   transport_.reset(effect.node, wire::channel::control);
 }
--- a/src/ibis/reactor/process_settings.cpp
+++ b/src/ibis/reactor/process_settings.cpp
@@ -79,6 +79,7 @@
   value.serving.node = value.node;
   root.read("availability_zone", value.serving.availability_zone, true);
   root.read("store", value.store_address, true);
+  root.read("first_start", value.serving.first_start);
   read_listen(root, value);
   read_budget(root, value.serving);
   read_stop(root, value.serving);
--- a/src/ibis/runtime/peer_session.cpp
+++ b/src/ibis/runtime/peer_session.cpp
@@ -5,9 +5,15 @@
 #include <asio/write.hpp>   // for async_write
 #include <utility>          // for move
 
+#include "ibis/runtime/socket_options.hpp"  // for configure_socket
+
 namespace ibis::runtime {
 namespace {
 
+/// Detects a peer that lost power or is cut off while no message is on its way.
+constexpr keepalive_limits peer_keepalive{std::chrono::seconds(3),
+                                          std::chrono::seconds(1), 2};
+
 base::error unavailable_error(std::string step, const std::string& peer,
                               const asio::error_code& failure) {
   return {base::error_code::unavailable, std::move(step), peer, failure.message()};
@@ -57,8 +63,7 @@
 
 void peer_session::start() {
   open_ = true;
-  asio::error_code ignored;
-  socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+  configure_socket(socket_, peer_keepalive);
   read_header();
   write_next();
 }
--- a/src/ibis/runtime/peer_transport.cpp
+++ b/src/ibis/runtime/peer_transport.cpp
@@ -201,6 +201,14 @@
   session->send(std::move(body));
 }
 
+void peer_transport::connect(const std::string& node, wire::channel channel,
+                             const std::string& address) {
+  const state::key name{node, channel};
+  if (!state_->current_sessions.contains(name)) {
+    state_->open_session(name, address);
+  }
+}
+
 void peer_transport::reset(const std::string& node, wire::channel channel) {
   std::vector<std::shared_ptr<peer_session>> closing;
   for (const auto& session : state_->sessions) {
--- a/src/ibis/serving/attempt.cpp
+++ b/src/ibis/serving/attempt.cpp
@@ -3,8 +3,11 @@
 #include <algorithm>  // for find
 #include <utility>    // for move
 
+#include "ibis/serving/connection_quota.hpp"    // for service_budget
 #include "ibis/serving/connections.hpp"         // for mark_busy, open_connection_to
+#include "ibis/serving/leaf_subset.hpp"         // for choose_leaf_subset
 #include "ibis/serving/request_completion.hpp"  // for answer_merged
+#include "ibis/serving/shard_replies.hpp"       // for reply_if_ready
 
 namespace ibis::serving {
 namespace {
@@ -116,7 +119,7 @@
   }
   if (task.sent > 0) {
     extra_budget& budget = ctx.node.services[task.service].budget;
-    if (!budget.try_spend(ctx.now, node_budget(ctx.node, ctx.now))) {
+    if (!budget.try_spend(ctx.now, service_budget(ctx.node, task.service, ctx.now))) {
       ++ctx.node.count.budget_refusals;
       return false;
     }
@@ -130,13 +133,23 @@
   return true;
 }
 
+void restrict_leafs(const pending_request& pending, task_state& task,
+                    const std::string& zone, context& ctx) {
+  const auto service = ctx.node.services.find(task.service);
+  if (service != ctx.node.services.end()) {
+    task.leaf_subset = choose_leaf_subset(service->second.leafs, pending.request->id,
+                                          zone, pending.route->max_leafs, ctx.now);
+  }
+}
+
 void give_up_task(pending_request& pending, task_state& task) {
   task.done = true;
   ++pending.given_up;
 }
 
 bool is_pending(const task_state& task) {
-  return !task.active_connections.empty() || task.opening > 0 || task.waiting;
+  return !task.active_connections.empty() || !task.active_calls.empty() ||
+         task.opening > 0 || task.waiting;
 }
 
 void on_attempt_failed(pending_request& pending, std::size_t shard, context& ctx) {
@@ -154,6 +167,10 @@
 }
 
 void answer_if_ready(pending_request& pending, context& ctx) {
+  if (pending.remote) {
+    reply_if_ready(pending, ctx);
+    return;
+  }
   if (pending.route->shape == route_shape::fan_out) {
     answer_fan_out_if_ready(pending, ctx);
     return;
--- a/src/ibis/serving/connections.cpp
+++ b/src/ibis/serving/connections.cpp
@@ -4,6 +4,8 @@
 #include <limits>     // for numeric_limits
 #include <utility>    // for move
 
+#include "ibis/serving/connection_quota.hpp"  // for connection_quota_of
+
 namespace ibis::serving {
 namespace {
 
@@ -12,11 +14,6 @@
 /// of the cost of a typical request.
 constexpr double warm_jitter = 0.5;
 
-/// Whether the configuration in force names a service.
-bool is_configured(const node_state& node, const std::string& service) {
-  return node.configuration && node.configuration->services.contains(service);
-}
-
 void remove_idle(leaf_state& leaf, base::connection_id id) {
   const auto found = std::find(leaf.idle.begin(), leaf.idle.end(), id);
   if (found != leaf.idle.end()) {
@@ -33,22 +30,17 @@
   }
 }
 
-/// Whether to close an idle connection: it is surplus and has been idle for long, or
-/// its leaf is about to close it.
-/// @param surplus Whether the connection is beyond those kept ahead of need.
-bool should_retire(const connection_state& connection, bool surplus,
-                   base::time_point now, const leaf_settings& settings) {
-  const base::duration idle_for = now - connection.since;
-  if (surplus && idle_for > settings.surplus_idle_limit) {
-    return true;
-  }
+/// Whether the leaf is about to close an idle connection.
+bool is_about_to_expire(const connection_state& connection, base::duration idle_for,
+                        const leaf_settings& settings) {
   return connection.idle_timeout.count() > 0 &&
          idle_for + settings.idle_margin > connection.idle_timeout;
 }
 
 /// Whether a leaf's last connection is surplus, since more leafs of its service are
 /// connected than needed.
-bool exceeds_warm_target(const leaf_state& leaf, const node_state& node) {
+bool exceeds_warm_target(const leaf_state& leaf, std::size_t warm_leafs,
+                         const node_state& node) {
   const auto service = node.services.find(leaf.record.service);
   if (service == node.services.end()) {
     return false;
@@ -56,15 +48,23 @@
   const auto connected = static_cast<std::size_t>(
       std::count_if(service->second.leafs.begin(), service->second.leafs.end(),
                     [](const leaf_ptr& other) { return other->open > 0; }));
-  return connected > connection_quota_of(node, leaf.record.service).warm_leafs;
+  return connected > warm_leafs;
 }
 
 void retire_idle(leaf_state& leaf, context& ctx) {
+  const std::size_t warm_leafs =
+      connection_quota_of(ctx.node, leaf.record.service, ctx.now).warm_leafs;
+  const base::milliseconds surplus_limit =
+      warm_leafs == 0 ? ctx.node.settings.holders.own_idle_limit
+                      : ctx.node.settings.leafs.surplus_idle_limit;
   const std::vector<base::connection_id> idle = leaf.idle;
   for (const base::connection_id id : idle) {
     const connection_state& connection = ctx.node.connections.at(id);
-    const bool surplus = leaf.open > 1 || exceeds_warm_target(leaf, ctx.node);
-    if (should_retire(connection, surplus, ctx.now, ctx.node.settings.leafs)) {
+    const bool surplus =
+        leaf.open > 1 || exceeds_warm_target(leaf, warm_leafs, ctx.node);
+    const base::duration idle_for = ctx.now - connection.since;
+    if ((surplus && idle_for > surplus_limit) ||
+        is_about_to_expire(connection, idle_for, ctx.node.settings.leafs)) {
       close(id, ctx);
     }
   }
@@ -88,8 +88,8 @@
 
 /// @return How many more leafs of a service should be connected ahead of need.
 std::size_t missing_warm_leafs(const node_state& node, const std::string& name,
-                               const service_state& service) {
-  const std::size_t wanted = connection_quota_of(node, name).warm_leafs;
+                               const service_state& service, base::time_point now) {
+  const std::size_t wanted = connection_quota_of(node, name, now).warm_leafs;
   const auto usable = static_cast<std::size_t>(
       std::count_if(service.leafs.begin(), service.leafs.end(),
                     [](const leaf_ptr& leaf) { return is_usable(*leaf); }));
@@ -123,36 +123,20 @@
   return best;
 }
 
-}  // namespace
-
-connection_quota connection_quota_of(const node_state& node,
-                                     const std::string& service) {
-  const auto found = node.services.find(service);
-  if (!is_configured(node, service) || found == node.services.end()) {
-    return {};
-  }
-  const leaf_settings& settings = node.settings.leafs;
-  const std::size_t leafs = std::max<std::size_t>(1, found->second.leafs.size());
-  const double all = static_cast<double>(leafs) *
-                     node.configuration->services.at(service).max_connections;
-  // Leaves room for one more node, which may be about to start.
-  const auto own = static_cast<std::size_t>(all * settings.connection_share /
-                                            static_cast<double>(node.nodes + 1));
-  connection_quota quota;
-  quota.to_service = std::max<std::size_t>(1, own);
-  quota.to_leaf =
-      std::clamp<std::size_t>(own / leafs, 1, settings.max_connections_per_leaf);
-  // The other half of the quota is kept for hedges and for replacing leafs that fail.
-  quota.warm_leafs = std::clamp<std::size_t>(own / 2, 1, leafs);
-  return quota;
+/// Whether other nodes that started with this one may not have been counted yet. The
+/// quota is too high until then, so no connection is opened ahead of need.
+bool is_waiting_for_count(const node_state& node, base::time_point now) {
+  return node.settings.first_start && now - node.started_at < second_count_delay;
 }
 
+}  // namespace
+
 bool can_open_connection(const node_state& node, const leaf_state& leaf,
                          base::time_point now) {
   if (now < leaf.next_connect_at) {
     return false;
   }
-  const connection_quota quota = connection_quota_of(node, leaf.record.service);
+  const connection_quota quota = connection_quota_of(node, leaf.record.service, now);
   if (leaf.open + leaf.opening >= quota.to_leaf) {
     return false;
   }
@@ -251,9 +235,12 @@
   for (const auto& [id, leaf] : ctx.node.leafs) {
     retire_idle(*leaf, ctx);
   }
+  if (is_waiting_for_count(ctx.node, ctx.now)) {
+    return;
+  }
   std::size_t opened = 0;
   for (auto& [name, service] : ctx.node.services) {
-    std::size_t wanted = missing_warm_leafs(ctx.node, name, service);
+    std::size_t wanted = missing_warm_leafs(ctx.node, name, service, ctx.now);
     while (wanted > 0 && opened < max_warm_opens_per_round) {
       const leaf_ptr leaf = choose_leaf_to_warm(service, ctx);
       if (!leaf) {
@@ -266,15 +253,15 @@
   }
 }
 
-bool has_warm_connections(const node_state& node) {
+bool has_warm_connections(const node_state& node, base::time_point now) {
   return std::all_of(
-      node.services.begin(), node.services.end(), [&node](const auto& entry) {
+      node.services.begin(), node.services.end(), [&node, now](const auto& entry) {
         const service_state& service = entry.second;
         const bool reachable = std::any_of(
             service.leafs.begin(), service.leafs.end(), [](const leaf_ptr& leaf) {
               return leaf->connect_failures == 0 && !leaf->record.draining;
             });
-        return !reachable || missing_warm_leafs(node, entry.first, service) == 0;
+        return !reachable || missing_warm_leafs(node, entry.first, service, now) == 0;
       });
 }
 
--- a/src/ibis/serving/leaf_choice.cpp
+++ b/src/ibis/serving/leaf_choice.cpp
@@ -27,9 +27,15 @@
   return !task.active_connections.empty() && was_tried(task, leaf);
 }
 
+bool is_in_subset(const task_state& task, const leaf_state& leaf) {
+  const std::vector<std::uint64_t>& subset = task.leaf_subset;
+  return subset.empty() ||
+         std::find(subset.begin(), subset.end(), leaf.key) != subset.end();
+}
+
 bool is_allowed(const task_state& task, const leaf_state& leaf,
                 const leaf_requirements& requirements, base::time_point now) {
-  if (leaf.instance_mismatch || leaf.record.draining) {
+  if (leaf.instance_mismatch || leaf.record.draining || !is_in_subset(task, leaf)) {
     return false;
   }
   const bool tried = was_tried(task, leaf);
--- a/src/ibis/serving/node.cpp
+++ b/src/ibis/serving/node.cpp
@@ -1,13 +1,15 @@
 #include "ibis/serving/node.hpp"
 
-#include <algorithm>  // for min
-#include <variant>    // for visit
+#include <variant>  // for visit
 
 #include "ibis/serving/connections.hpp"      // for maintain_connections
+#include "ibis/serving/holders.hpp"          // for update_holders
 #include "ibis/serving/leaf_events.hpp"      // for on_leaf_answered
 #include "ibis/serving/peer_replies.hpp"     // for on_peer_query
 #include "ibis/serving/pending_request.hpp"  // for on_request
 #include "ibis/serving/registry.hpp"         // for remove_expired_leafs
+#include "ibis/serving/shard_replies.hpp"    // for on_shards_requested
+#include "ibis/serving/shard_requests.hpp"   // for on_shards_replied
 #include "ibis/serving/store_follower.hpp"   // for start_following
 
 namespace ibis::serving {
@@ -17,7 +19,8 @@
 constexpr base::milliseconds warm_up_period{60};
 
 void add_maintenance(context& ctx) {
-  const bool warming = !has_routing_data(ctx.node) || !has_warm_connections(ctx.node);
+  const bool warming =
+      !has_routing_data(ctx.node) || !has_warm_connections(ctx.node, ctx.now);
   const base::milliseconds period =
       warming ? warm_up_period : ctx.node.settings.leafs.maintenance_period;
   ctx.add_timer(ctx.now + period, timer_kind::maintenance);
@@ -80,6 +83,7 @@
     ctx.out.emplace_back(register_node{});
   }
   ctx.node.registered = true;
+  update_holders(ctx);
 }
 
 void on_probe_store(context& ctx) {
@@ -90,11 +94,26 @@
   ctx.add_timer(ctx.now + settings.probe_period, timer_kind::probe_store);
 }
 
+void on_peer_lost(const std::string& name, context& ctx) {
+  avoid_holder(name, ctx.node.settings.holders.backoff, ctx);
+  retry_calls_of(name, ctx);
+  cancel_requests_of(name, ctx);
+}
+
+void on_maintenance(context& ctx) {
+  if (ctx.node.holders_outdated) {
+    ctx.node.holders_outdated = false;
+    update_holders(ctx);
+  }
+  maintain_connections(ctx);
+  connect_holders(ctx);
+  add_maintenance(ctx);
+}
+
 void on_timer(const timer& due, context& ctx) {
   switch (due.kind) {
     case timer_kind::maintenance:
-      maintain_connections(ctx);
-      add_maintenance(ctx);
+      on_maintenance(ctx);
       break;
     case timer_kind::remove_expired:
       remove_expired_leafs(ctx);
@@ -113,6 +132,12 @@
     case timer_kind::store_retry:
       on_store_timer(due, ctx);
       break;
+    case timer_kind::progress_reply:
+      on_progress_due({due.subject}, ctx);
+      break;
+    case timer_kind::holder_silent:
+      on_holder_silent({due.subject}, ctx);
+      break;
     case timer_kind::stop_accepting:
       on_stop_accepting(ctx);
       break;
@@ -151,12 +176,27 @@
   void operator()(const nodes_counted& event) const { on_nodes_counted(event, ctx); }
   void operator()(const peer_query_received& event) const { on_peer_query(event, ctx); }
   void operator()(const peer_replied& event) const { on_peer_reply(event, ctx); }
+  void operator()(const shards_requested& event) const {
+    on_shards_requested(event, ctx);
+  }
+  void operator()(const shards_replied& event) const { on_shards_replied(event, ctx); }
+  void operator()(const shards_cancelled& event) const {
+    on_shards_cancelled(event, ctx);
+  }
+  void operator()(const shards_undeliverable& event) const {
+    on_shards_undeliverable(event, ctx);
+  }
+  void operator()(const peer_lost& event) const { on_peer_lost(event.node, ctx); }
   void operator()(const store_probed& event) const { on_store_probed(event, ctx); }
   void operator()(const settings_changed& event) const {
     ctx.node.settings = event.settings;
   }
   void operator()(const stop_requested& /*event*/) const { on_stop_requested(ctx); }
-  void operator()(const tick& /*event*/) const {}
+  void operator()(const tick& /*event*/) const {
+    while (const auto due = ctx.node.timers.pop_due(ctx.now)) {
+      on_timer(*due, ctx);
+    }
+  }
 };
 
 }  // namespace
@@ -166,16 +206,6 @@
   return static_cast<double>(node.random() - std::minstd_rand::min()) / range;
 }
 
-extra_budget_settings node_budget(const node_state& node, base::time_point now) {
-  // Leaves a margin, since others count the arrivals by their own clocks.
-  constexpr double used_share = 0.95;
-  extra_budget_settings own = node.settings.budget;
-  const double age = base::to_ms(now - node.started_at) / base::to_ms(own.window);
-  own.ratio *= used_share;
-  own.slack *= used_share * std::min(1.0, age) / static_cast<double>(node.nodes + 1);
-  return own;
-}
-
 node_state make_node(const node_settings& settings, std::uint32_t random_seed) {
   node_state node;
   node.settings = settings;
@@ -188,10 +218,7 @@
   context ctx{now, node, out};
   node.started_at = now;
   start_following(ctx);
-  // The first count shows whether this node's record exists from before a restart. The
-  // second is late enough for nodes that started together to have written their
-  // records.
-  constexpr base::milliseconds second_count_delay{3000};
+  // The first count shows whether this node's record exists from before a restart.
   ctx.out.emplace_back(count_nodes{});
   ctx.add_timer(now + second_count_delay, timer_kind::count_nodes);
   ctx.add_timer(now + node.settings.store.probe_period, timer_kind::probe_store);
@@ -202,9 +229,6 @@
 effects reduce(node_state& node, const event& value, base::time_point now) {
   effects out;
   context ctx{now, node, out};
-  while (const auto due = node.timers.pop_due(now)) {
-    on_timer(*due, ctx);
-  }
   std::visit(dispatcher{ctx}, value);
   return out;
 }
@@ -224,7 +248,7 @@
     return {false, "no leafs listed"};
   }
   const bool waited = now - node.started_at >= node.settings.max_warm_up_wait;
-  if (!waited && !has_warm_connections(node)) {
+  if (!waited && !has_warm_connections(node, now)) {
     return {false, "connections are warming up"};
   }
   return {true, ""};
--- a/src/ibis/serving/pending_request.cpp
+++ b/src/ibis/serving/pending_request.cpp
@@ -1,12 +1,15 @@
 #include "ibis/serving/pending_request.hpp"
 
 #include <algorithm>  // for any_of, clamp, max, min
+#include <numeric>    // for iota
 #include <utility>    // for move
 
 #include "ibis/serving/attempt.hpp"             // for dispatch, answer_if_ready
+#include "ibis/serving/connection_quota.hpp"    // for service_budget
 #include "ibis/serving/leaf_choice.hpp"         // for choose_leaf
 #include "ibis/serving/leaf_events.hpp"         // for on_connection_timer
 #include "ibis/serving/request_completion.hpp"  // for refuse_request, reject_request
+#include "ibis/serving/shard_requests.hpp"      // for ask_holders
 #include "ibis/serving/waiting_tasks.hpp"       // for on_leaf_capacity
 
 namespace ibis::serving {
@@ -83,12 +86,39 @@
   }
 }
 
+/// Counts the first send of a task, or spends an extra request if another node may have
+/// sent it before.
+/// @return Whether the task may be sent.
+bool admit_task(const pending_request& pending, const task_state& task, context& ctx) {
+  extra_budget& budget = ctx.node.services[task.service].budget;
+  const extra_budget_settings settings =
+      service_budget(ctx.node, task.service, ctx.now);
+  if (pending.remote && pending.remote->repeated) {
+    const bool admitted = budget.try_spend(ctx.now, settings);
+    ctx.node.count.budget_refusals += admitted ? 0 : 1;
+    return admitted;
+  }
+  budget.count_request(ctx.now, settings);
+  return true;
+}
+
+/// @return The indices of the tasks that this node sends to leafs itself.
+std::vector<std::size_t> delegate_tasks(pending_request& pending, context& ctx) {
+  if (pending.route->shape == route_shape::fan_out && !pending.remote) {
+    return ask_holders(pending, ctx);
+  }
+  std::vector<std::size_t> all(pending.tasks.size());
+  std::iota(all.begin(), all.end(), std::size_t{0});
+  return all;
+}
+
 void start_tasks(pending_request& pending, context& ctx) {
-  for (std::size_t shard = 0; shard < pending.tasks.size(); ++shard) {
+  for (const std::size_t shard : delegate_tasks(pending, ctx)) {
     task_state& task = pending.tasks[shard];
-    ctx.node.services[task.service].budget.count_request(
-        ctx.now, node_budget(ctx.node, ctx.now));
-    if (!dispatch(pending, shard, ctx)) {
+    if (pending.remote) {
+      restrict_leafs(pending, task, pending.remote->availability_zone, ctx);
+    }
+    if (!admit_task(pending, task, ctx) || !dispatch(pending, shard, ctx)) {
       give_up_task(pending, task);
     }
   }
@@ -117,7 +147,8 @@
     return;
   }
   extra_budget& budget = ctx.node.services[task.service].budget;
-  if (task.sent > 0 && !budget.try_spend(ctx.now, node_budget(ctx.node, ctx.now))) {
+  if (task.sent > 0 &&
+      !budget.try_spend(ctx.now, service_budget(ctx.node, task.service, ctx.now))) {
     ++ctx.node.count.budget_refusals;
     return;
   }
@@ -158,6 +189,14 @@
 
 }  // namespace
 
+void start_request(pending_request&& pending, context& ctx) {
+  set_latency_expectations(pending, ctx);
+  pending.tasks = make_tasks(pending, ctx);
+  const base::caller_id caller = pending.caller;
+  const auto inserted = ctx.node.pending_requests.emplace(caller, std::move(pending));
+  start_tasks(inserted.first->second, ctx);
+}
+
 void on_request(const request_arrived& event, context& ctx) {
   ++ctx.node.count.requests;
   const inbound_request& request = *event.request;
@@ -193,11 +232,7 @@
   pending.effective_deadline = ctx.now + std::min(timeout, matched->timeout);
   pending.objective_deadline =
       ctx.now + answer_time_budget(*matched, event.first_on_connection, ctx);
-  set_latency_expectations(pending, ctx);
-  pending.tasks = make_tasks(pending, ctx);
-  const auto inserted =
-      ctx.node.pending_requests.emplace(event.caller, std::move(pending));
-  start_tasks(inserted.first->second, ctx);
+  start_request(std::move(pending), ctx);
 }
 
 void on_caller_disconnected(base::caller_id caller, context& ctx) {
@@ -215,8 +250,10 @@
   ctx.log("caller_left", {{"request", pending->request->id},
                           {"route", pending->route->name},
                           {"parts", std::to_string(pending->parts)}});
-  ctx.out.emplace_back(record_request_end{pending->route->name, outcome::abandoned,
-                                          ctx.now - pending->arrived});
+  if (!pending->remote) {
+    ctx.out.emplace_back(record_request_end{pending->route->name, outcome::abandoned,
+                                            ctx.now - pending->arrived});
+  }
   remove_request(caller, ctx);
 }
 
--- a/src/ibis/serving/registry.cpp
+++ b/src/ibis/serving/registry.cpp
@@ -17,6 +17,7 @@
 /// Removes a leaf from its service, so that it gets no new work.
 void detach(const leaf_ptr& leaf, context& ctx) {
   auto& leafs = ctx.node.services[leaf->record.service].leafs;
+  ctx.node.holders_outdated = true;
   leafs.erase(std::remove(leafs.begin(), leafs.end(), leaf), leafs.end());
   leaf->registration = leaf_registration::removed;
   close_idle(*leaf, ctx);
@@ -46,9 +47,11 @@
   const auto leaf = std::make_shared<leaf_state>();
   leaf->record = record;
   leaf->key = ctx.next_id();
+  leaf->joined_at = ctx.now;
   leaf->concurrency_limit = ctx.node.settings.leafs.initial_limit;
   leaf->warming_until = ctx.now + record.warm_up;
   ctx.node.leafs[record.id] = leaf;
+  ctx.node.holders_outdated = true;
   ctx.node.services[record.service].leafs.push_back(leaf);
   log_leaf("leaf_joined", *leaf, ctx);
   dispatch_waiting_tasks(record.service, ctx);
--- a/src/ibis/serving/request_completion.cpp
+++ b/src/ibis/serving/request_completion.cpp
@@ -3,7 +3,9 @@
 #include <algorithm>  // for any_of, clamp
 #include <utility>    // for move
 
-#include "ibis/serving/merge.hpp"  // for merge_records
+#include "ibis/serving/merge.hpp"           // for merge_records
+#include "ibis/serving/shard_replies.hpp"   // for finish_shards
+#include "ibis/serving/shard_requests.hpp"  // for cancel_shard_calls
 
 namespace ibis::serving {
 namespace {
@@ -29,7 +31,8 @@
 bool may_have_run(const pending_request& pending) {
   return std::any_of(
       pending.tasks.begin(), pending.tasks.end(), [](const task_state& task) {
-        return task.may_have_run || task.part || !task.active_connections.empty();
+        return task.may_have_run || task.part || !task.active_connections.empty() ||
+               !task.active_calls.empty();
       });
 }
 
@@ -108,6 +111,10 @@
 }
 
 void answer_failure(pending_request& pending, const char* reason, context& ctx) {
+  if (pending.remote) {
+    finish_shards(pending, reason, ctx);
+    return;
+  }
   caller_answer answer;
   answer.body = reason;
   if (may_have_run(pending)) {
@@ -121,6 +128,10 @@
 }
 
 void answer_timeout(pending_request& pending, context& ctx) {
+  if (pending.remote) {
+    finish_shards(pending, "timeout", ctx);
+    return;
+  }
   caller_answer answer;
   answer.status = status_timeout;
   answer.body = "the request's time is used up";
@@ -160,7 +171,15 @@
 }
 
 void remove_request(base::caller_id caller, context& ctx) {
-  ctx.node.pending_requests.erase(caller);
+  const auto found = ctx.node.pending_requests.find(caller);
+  if (found == ctx.node.pending_requests.end()) {
+    return;
+  }
+  cancel_shard_calls(found->second, ctx);
+  if (const auto& remote = found->second.remote) {
+    ctx.node.remote_callers.erase({remote->node, remote->call});
+  }
+  ctx.node.pending_requests.erase(found);
 }
 
 }  // namespace ibis::serving
--- a/src/ibis/serving/store_follower.cpp
+++ b/src/ibis/serving/store_follower.cpp
@@ -4,6 +4,7 @@
 #include <string>     // for string
 #include <utility>    // for move
 
+#include "ibis/serving/holders.hpp"        // for update_holders
 #include "ibis/serving/peer_replies.hpp"   // for record_change, reply_to_waiting_peers
 #include "ibis/serving/registry.hpp"       // for apply_changes, apply_listing
 #include "ibis/serving/update_source.hpp"  // for choose_update_source, avoid_peer
@@ -194,6 +195,7 @@
     return;
   }
   ctx.node.configuration = received;
+  update_holders(ctx);
   ++ctx.node.count.catalogs;
   ctx.log("configuration_in_force",
           {{"version", std::to_string(received->version)},
--- a/src/ibis/wire/codec.cpp
+++ b/src/ibis/wire/codec.cpp
@@ -55,6 +55,14 @@
       static_cast<std::uint8_t>(value.status));
 }
 
+auto write_covered(builder& out, const covered_shard& value) {
+  return fb::Createcovered_shardDirect(out, value.index, value.signature.c_str());
+}
+
+auto write_failed(builder& out, const failed_shard& value) {
+  return fb::Createfailed_shard(out, value.index, value.sent);
+}
+
 member read_member(const fb::member& source) {
   return {read_string(source.node()),    read_string(source.vm()),
           read_string(source.zone()),    read_string(source.role()),
@@ -160,6 +168,33 @@
                                                       value.kind, value.revision, texts)
                                      .Union());
   }
+  void operator()(const shards_request& value) const {
+    const auto route = out.CreateString(value.route);
+    const auto method = out.CreateString(value.method);
+    const auto target = out.CreateString(value.target);
+    const auto host = out.CreateString(value.host);
+    const auto request_id = out.CreateString(value.request_id);
+    const auto head = out.CreateString(value.head);
+    const auto body = out.CreateString(value.body);
+    const auto shards = out.CreateVectorOfStrings(value.shards);
+    const auto zone = out.CreateString(value.availability_zone);
+    finish(fb::body::shards_request,
+           fb::Createshards_request(
+               out, value.call.value, route, method, target, host, request_id, head,
+               body, shards, value.top, value.min_shard_share, value.max_leafs,
+               value.priority, value.objective.count(), value.progress.count(),
+               value.reply.count(), value.remaining.count(), zone, value.repeated)
+               .Union());
+  }
+  void operator()(const shards_reply& value) const {
+    const auto covered = write_list(out, value.covered, write_covered);
+    const auto failed = write_list(out, value.failed, write_failed);
+    const auto records = out.CreateString(value.records);
+    finish(fb::body::shards_reply,
+           fb::Createshards_reply(out, value.call.value, value.final, value.leaving,
+                                  covered, failed, records)
+               .Union());
+  }
   void operator()(const part_request& value) const {
     const auto names = out.CreateVectorOfStrings(value.names);
     finish(fb::body::part_request, fb::Createpart_request(out, names).Union());
@@ -281,6 +316,49 @@
   return value;
 }
 
+message read(const fb::shards_request& source) {
+  shards_request value;
+  value.call = base::block_call_id{source.call()};
+  value.route = read_string(source.route());
+  value.method = read_string(source.method());
+  value.target = read_string(source.target());
+  value.host = read_string(source.host());
+  value.request_id = read_string(source.request_id());
+  value.head = read_string(source.head());
+  value.body = read_string(source.body());
+  if (source.shards() != nullptr) {
+    for (const auto* shard : *source.shards()) {
+      value.shards.push_back(read_string(shard));
+    }
+  }
+  value.top = source.top();
+  value.min_shard_share = source.min_shard_share();
+  value.max_leafs = source.max_leafs();
+  value.priority = source.priority();
+  value.objective = base::microseconds(source.objective_us());
+  value.progress = base::microseconds(source.progress_us());
+  value.reply = base::microseconds(source.reply_us());
+  value.remaining = base::microseconds(source.remaining_us());
+  value.availability_zone = read_string(source.availability_zone());
+  value.repeated = source.repeated();
+  return value;
+}
+
+message read(const fb::shards_reply& source) {
+  shards_reply value;
+  value.call = base::block_call_id{source.call()};
+  value.final = source.final();
+  value.leaving = source.leaving();
+  value.covered = read_list<covered_shard>(source.covered(), [](const auto& item) {
+    return covered_shard{item.index(), read_string(item.signature())};
+  });
+  value.failed = read_list<failed_shard>(source.failed(), [](const auto& item) {
+    return failed_shard{item.index(), item.sent()};
+  });
+  value.records = read_string(source.records());
+  return value;
+}
+
 message read(const fb::part_reply& source) {
   return part_reply{read_list<part>(source.parts(), [](const auto& item) {
     return part{read_string(item.name()), read_string(item.bytes())};
@@ -365,6 +443,10 @@
       return message(generation_ack{read_string(source.node()),
                                     read_string(source.zone()), source.generation()});
     }
+    case fb::body::shards_request:
+      return read(*frame.body_as_shards_request());
+    case fb::body::shards_reply:
+      return read(*frame.body_as_shards_reply());
     case fb::body::NONE:
       break;
   }
--- a/src/ibis/wire/codec_test.cpp
+++ b/src/ibis/wire/codec_test.cpp
@@ -1,5 +1,6 @@
 #include "ibis/wire/codec.hpp"
 
+#include <array>             // for array
 #include <catch2/catch.hpp>  // for TEST_CASE, CHECK
 #include <random>            // for mt19937_64
 
@@ -55,6 +56,34 @@
   return reply;
 }
 
+shards_request sample_shards_request() {
+  shards_request request;
+  request.call = {7};
+  request.route = "query";
+  request.method = "GET";
+  request.target = "/q/1?a=b";
+  request.host = "h.example";
+  request.request_id = "9c41";
+  request.head = "GET /q/1?a=b HTTP/1.1\r\n";
+  request.body = std::string("x\0y", 3);
+  request.shards = {"s0", "s1"};
+  request.top = 50;
+  request.min_shard_share = 0.95;
+  request.max_leafs = 2;
+  request.priority = 1;
+  request.objective = base::microseconds(150000);
+  request.progress = base::microseconds(50000);
+  request.reply = base::microseconds(130000);
+  request.remaining = base::microseconds(800000);
+  request.availability_zone = "praha-a";
+  request.repeated = true;
+  return request;
+}
+
+shards_reply sample_shards_reply() {
+  return {{7}, false, true, {{0, "3e1b.07"}}, {{1, true}}, std::string("a\0b", 3)};
+}
+
 TEST_CASE("Messages are unchanged after encoding and decoding") {
   CHECK(std::get<block_request>(round_trip(sample_request())) == sample_request());
   CHECK(std::get<block_reply>(round_trip(sample_reply())) == sample_reply());
@@ -73,6 +102,10 @@
   const auto parts =
       std::get<part_reply>(round_trip(part_reply{{{"abc", std::string("x\0y", 3)}}}));
   CHECK(parts.parts.front().bytes.size() == 3);
+  const shards_request shards = sample_shards_request();
+  CHECK(std::get<shards_request>(round_trip(shards)) == shards);
+  const shards_reply shards_answer = sample_shards_reply();
+  CHECK(std::get<shards_reply>(round_trip(shards_answer)) == shards_answer);
   const topic_watch watch{3, 1, 77};
   CHECK(std::get<topic_watch>(round_trip(watch)) == watch);
   const topic_news news{3, 1, 2, 79, {"{}", std::string("a\0b", 3)}};
@@ -90,8 +123,11 @@
 
 TEST_CASE("Truncated and corrupted frames are refused or decoded, but never crash") {
   std::mt19937_64 random(11);
-  const std::string frame = encode(sample_reply());
-  for (int round = 0; round < 20000; ++round) {
+  const std::array<std::string, 3> frames{encode(sample_reply()),
+                                          encode(sample_shards_request()),
+                                          encode(sample_shards_reply())};
+  for (int round = 0; round < 60000; ++round) {
+    const std::string& frame = frames[static_cast<std::size_t>(round) % frames.size()];
     std::string corrupted =
         frame.substr(0, header_size + random() % (frame.size() - 4));
     if (corrupted.size() <= header_size) {
--- a/standins/follower_fleet.cpp
+++ b/standins/follower_fleet.cpp
@@ -108,8 +108,9 @@
         due = name;
       }
     }
-    if (!queue_.empty() && (!next || queue_.top().at <= *next)) {
-      next = queue_.top().at;
+    const auto action_at = queue_.next_at();
+    if (action_at && (!next || *action_at <= *next)) {
+      next = action_at;
       due.clear();
     }
     if (!next || *next > end) {
@@ -120,9 +121,7 @@
       deliver_event(due, serving::tick{});
       continue;
     }
-    const auto action = queue_.top().action;
-    queue_.pop();
-    action();
+    queue_.run_next();
   }
   now_ = end;
 }
@@ -151,7 +150,7 @@
 }
 
 void follower_fleet::after(base::duration delay, std::function<void()> action) {
-  queue_.push({now_ + delay, ++last_order_, std::move(action)});
+  queue_.add(now_ + delay, std::move(action));
 }
 
 void follower_fleet::deliver_event(const std::string& node,
--- a/standins/follower_fleet.hpp
+++ b/standins/follower_fleet.hpp
@@ -5,12 +5,12 @@
 
 #include <functional>  // for function
 #include <map>         // for map
-#include <queue>       // for priority_queue
 #include <set>         // for set
 #include <string>      // for string
 #include <vector>      // for vector
 
 #include "ibis/serving/node.hpp"  // for node_state
+#include "virtual_queue.hpp"      // for virtual_queue
 
 namespace ibis::standins {
 
@@ -58,16 +58,6 @@
   std::function<bool(const std::string&, const std::string&)> is_partitioned;
 
  private:
-  /// An action scheduled on virtual time; `order` keeps actions with the same time in
-  /// sequence.
-  struct scheduled {
-    base::time_point at;
-    std::uint64_t order;
-    std::function<void()> action;
-    bool operator<(const scheduled& other) const {
-      return at != other.at ? at > other.at : order > other.order;
-    }
-  };
   /// A watch call that waits for a change after `revision`.
   struct pending_watch {
     std::string node;
@@ -92,8 +82,7 @@
                                                      std::uint64_t revision);
 
   base::time_point now_{std::chrono::hours(1)};
-  std::priority_queue<scheduled> queue_;
-  std::uint64_t last_order_ = 0;
+  virtual_queue queue_;
   std::uint64_t revision_ = 1;
   std::uint64_t oldest_revision_ = 0;  ///< Watches from an older one must list again.
   std::vector<serving::topic_changed> changes_;
--- a/standins/serving_fleet.cpp
+++ b/standins/serving_fleet.cpp
@@ -14,21 +14,6 @@
 constexpr unsigned status_refused = 503;
 constexpr unsigned status_misdirected = 421;
 
-/// Makes an answer body of fixed length whose records differ and are unordered.
-std::string make_records(const std::string& seed) {
-  constexpr int count = 7;
-  std::string body;
-  std::uint64_t value = std::hash<std::string>{}(seed);
-  for (int i = 0; i < count * 2; ++i) {
-    constexpr std::uint64_t multiplier = 6364136223846793005;
-    value = value * multiplier + 1442695040888963407;
-    for (int byte = 0; byte < 8; ++byte) {
-      body.push_back(static_cast<char>(value >> (8 * byte)));
-    }
-  }
-  return body + "rest";
-}
-
 }  // namespace
 
 serving_fleet::serving_fleet(std::uint64_t seed, const serving::node_settings& settings)
@@ -130,8 +115,9 @@
   const base::time_point end = now_ + time;
   while (true) {
     const auto tick = serving::next_tick(node);
-    const bool action_first = !queue_.empty() && (!tick || queue_.top().at <= *tick);
-    const auto next = action_first ? std::optional(queue_.top().at) : tick;
+    const auto action_at = queue_.next_at();
+    const bool action_first = action_at && (!tick || *action_at <= *tick);
+    const auto next = action_first ? action_at : tick;
     if (!next || *next > end) {
       break;
     }
@@ -140,9 +126,7 @@
       deliver_event(serving::tick{});
       continue;
     }
-    const auto action = queue_.top().action;
-    queue_.pop();
-    action();
+    queue_.run_next();
   }
   now_ = end;
 }
@@ -157,7 +141,7 @@
 }
 
 void serving_fleet::after(base::duration delay, std::function<void()> action) {
-  queue_.push({now_ + delay, ++last_order_, std::move(action)});
+  queue_.add(now_ + delay, std::move(action));
 }
 
 void serving_fleet::deliver_event(const serving::event& event) {
@@ -380,6 +364,20 @@
   return event;
 }
 
+std::string make_records(const std::string& seed) {
+  constexpr int count = 7;
+  std::string body;
+  std::uint64_t value = std::hash<std::string>{}(seed);
+  for (int i = 0; i < count * 2; ++i) {
+    constexpr std::uint64_t multiplier = 6364136223846793005;
+    value = value * multiplier + 1442695040888963407;
+    for (int byte = 0; byte < 8; ++byte) {
+      body.push_back(static_cast<char>(value >> (8 * byte)));
+    }
+  }
+  return body + "rest";
+}
+
 serving::catalog make_catalog(std::uint64_t version,
                               const std::vector<std::string>& shards,
                               const std::string& single) {
--- a/standins/serving_fleet.hpp
+++ b/standins/serving_fleet.hpp
@@ -6,13 +6,13 @@
 #include <map>         // for map
 #include <memory>      // for shared_ptr
 #include <optional>    // for optional
-#include <queue>       // for priority_queue
 #include <random>      // for mt19937_64
 #include <set>         // for set
 #include <string>      // for string
 #include <vector>      // for vector
 
 #include "ibis/serving/node.hpp"  // for node_state
+#include "virtual_queue.hpp"      // for virtual_queue
 
 namespace ibis::standins {
 
@@ -125,16 +125,6 @@
   std::function<void(const serving::effect&)> effect_observer;
 
  private:
-  /// An action scheduled on virtual time; `order` keeps actions with the same time in
-  /// sequence.
-  struct scheduled {
-    base::time_point at;
-    std::uint64_t order;
-    std::function<void()> action;
-    bool operator<(const scheduled& other) const {
-      return at != other.at ? at > other.at : order > other.order;
-    }
-  };
   /// A connection of the node; `serial` is the number of its last request.
   struct leaf_connection {
     std::string leaf;
@@ -164,8 +154,7 @@
 
   std::mt19937_64 random_;
   base::time_point now_{std::chrono::hours(1)};
-  std::priority_queue<scheduled> queue_;
-  std::uint64_t last_order_ = 0;
+  virtual_queue queue_;
   std::uint64_t last_caller_ = 0;
   std::map<base::caller_id, std::string> request_ids_;
   std::map<base::connection_id, leaf_connection> connections_;
@@ -181,6 +170,10 @@
   std::map<serving::store_topic, pending_call> calls_;
 };
 
+/// Makes an answer body of fixed length whose records differ and are unordered.
+/// @param seed The body differs for each seed.
+std::string make_records(const std::string& seed);
+
 /// Makes a configuration with four routes for the host "h": a fan-out over `shards` at
 /// "/q/", and routes to the service `single` at "/read/" (idempotent), "/urgent/"
 /// (idempotent, of higher priority) and "/write/" (not idempotent).
