A silent holder is asked beside another one; departed leafs keep their rank; connections that idled out are no failure

A holder that misses its time is no longer cut off at once: another is asked, and the first reply wins. Its connection is reset when it is silent a second time in a row. Services without a route are no longer connected ahead of need where connections are scarce: all nodes did so before a reshard, beside the holders.

--- a/include/ibis/serving/catalog.hpp
+++ b/include/ibis/serving/catalog.hpp
@@ -9,6 +9,7 @@
 #include <string>         // for string
 #include <string_view>    // for string_view
 #include <unordered_map>  // for unordered_map
+#include <unordered_set>  // for unordered_set
 #include <vector>         // for vector
 
 #include "ibis/base/time.hpp"  // for milliseconds
@@ -67,12 +68,14 @@
   client_limits limits;
   /// Indices into `routes` by host, longest prefix first. Filled by `index_routes`.
   std::unordered_map<std::string, std::vector<std::size_t>> by_host;
+  /// Names of the services that some route uses. Filled by `index_routes`.
+  std::unordered_set<std::string> routed;
 };
 
 /// A catalog shared by the node and the requests that use it.
 using catalog_ptr = std::shared_ptr<const catalog>;
 
-/// Fills `by_host`. Must be called before `find_route`.
+/// Fills `by_host` and `routed`. Must be called before `find_route`.
 void index_routes(catalog& config);
 
 /// Finds the route for a request.
--- a/include/ibis/serving/leaf_state.hpp
+++ b/include/ibis/serving/leaf_state.hpp
@@ -69,9 +69,10 @@
   std::uint64_t serial = 0;
   /// The request in flight, or the one for which the connection is being opened.
   base::caller_id caller;
-  std::size_t shard = 0;      ///< Index of the task within that request.
-  base::time_point since{};   ///< When the current phase began.
-  bool has_answered = false;  ///< The leaf has answered on this connection.
+  std::size_t shard = 0;         ///< Index of the task within that request.
+  base::time_point since{};      ///< When the current phase began.
+  base::time_point opened_at{};  ///< When it was established.
+  bool has_answered = false;     ///< The leaf has answered on this connection.
   /// Latency that is typical of the request's route.
   base::duration typical_latency{0};
   base::milliseconds idle_timeout{0};  ///< As announced by the leaf; 0 if unknown.
--- a/include/ibis/serving/settings.hpp
+++ b/include/ibis/serving/settings.hpp
@@ -109,9 +109,10 @@
   std::size_t min_own_connections = 4;
   std::size_t block_shards = 12;  ///< Shards that have the same holders.
   std::size_t per_zone = 2;       ///< Holders of a block in an availability zone.
-  /// Share of the route's objective after which a holder replies with what it has, and
-  /// after which one that does not is taken for dead.
-  double progress_share = 0.35;
+  /// Share of the route's objective after which a holder replies with what it has.
+  double progress_share = 0.3;
+  /// Further share after which a holder that has not replied is taken for silent.
+  double patience_share = 0.15;
   /// Longest time that a reply travels, subtracted from the time left for the shards.
   base::milliseconds same_zone_margin{3};
   base::milliseconds other_zone_margin{8};
--- a/include/ibis/serving/shard_requests.hpp
+++ b/include/ibis/serving/shard_requests.hpp
@@ -24,7 +24,8 @@
 /// Asks other holders for the shards that a lost peer has not replied for.
 void retry_calls_of(const std::string& node, context& ctx);
 
-/// Resets the connection to a holder that has not replied in time.
+/// Asks another holder as well if one has not replied in time, and resets the
+/// connection to it if this happens again.
 void on_holder_silent(base::block_call_id call, context& ctx);
 
 /// Cancels what holders still do for a request that was answered or whose client
--- a/include/ibis/serving/state.hpp
+++ b/include/ibis/serving/state.hpp
@@ -22,6 +22,7 @@
 #include "ibis/serving/extra_budget.hpp"   // for extra_budget
 #include "ibis/serving/holders.hpp"        // for holder_table, holder_health
 #include "ibis/serving/leaf_state.hpp"     // for leaf_state, connection_state
+#include "ibis/serving/leaf_subset.hpp"    // for departed_leaf
 #include "ibis/serving/settings.hpp"       // for node_settings
 
 namespace ibis::serving {
@@ -114,6 +115,7 @@
   /// Typical latency of the route's leaf answers when the request arrived.
   base::duration typical_latency{0};
   base::duration hedge_delay{0};  ///< After which an unanswered task is late.
+  std::vector<base::block_call_id> shard_calls;  ///< To holders; some may have ended.
   std::size_t parts = 0;          ///< Number of shards that have answered.
   std::size_t given_up = 0;       ///< Number of tasks given up.
   bool objective_passed = false;  ///< `objective_deadline` has passed.
@@ -137,6 +139,7 @@
 /// A service's leafs, queue and budget of extra requests.
 struct service_state {
   std::vector<leaf_ptr> leafs;
+  std::vector<departed_leaf> departed;  ///< Leafs that left a short time ago.
   std::deque<waiting_task> waiting;
   extra_budget budget;
   /// Until when this node counts as a holder, since another node has asked it.
--- a/src/ibis/runtime/peer_session.cpp
+++ b/src/ibis/runtime/peer_session.cpp
@@ -146,6 +146,11 @@
       });
 }
 
+void peer_session::discard_unsent() {
+  asio::error_code ignored;  // Without it, the peer may get messages that are obsolete.
+  socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+}
+
 void peer_session::close_silently() {
   closed_ = true;
   asio::error_code ignored;
--- a/src/ibis/runtime/peer_session.hpp
+++ b/src/ibis/runtime/peer_session.hpp
@@ -55,6 +55,10 @@
   std::string address;  ///< Of the other end, "ip:port".
   bool hello_received = false;
 
+  /// Makes the next close a reset, so that the peer does not get messages that are
+  /// still in the kernel's buffers.
+  void discard_unsent();
+
   /// @return The size of all messages that are not yet written completely.
   [[nodiscard]] std::size_t queued_bytes() const { return queued_bytes_; }
   /// @return The number of bytes sent so far, including frame headers.
--- a/src/ibis/runtime/peer_transport.cpp
+++ b/src/ibis/runtime/peer_transport.cpp
@@ -217,6 +217,7 @@
     }
   }
   for (const auto& session : closing) {
+    session->discard_unsent();
     session->close({base::error_code::timeout, "await reply", node, "reset"});
   }
 }
--- a/src/ibis/serving/attempt.cpp
+++ b/src/ibis/serving/attempt.cpp
@@ -137,8 +137,8 @@
                     const std::string& zone, context& ctx) {
   const auto service = ctx.node.services.find(task.service);
   if (service != ctx.node.services.end()) {
-    task.leaf_subset = choose_leaf_subset(service->second.leafs, pending.request->id,
-                                          zone, pending.route->max_leafs, ctx.now);
+    task.leaf_subset = choose_leaf_subset(service->second, pending.request->id, zone,
+                                          pending.route->max_leafs, ctx.now);
   }
 }
 
--- a/src/ibis/serving/catalog.cpp
+++ b/src/ibis/serving/catalog.cpp
@@ -19,8 +19,14 @@
 
 void index_routes(catalog& config) {
   config.by_host.clear();
+  config.routed.clear();
   for (std::size_t i = 0; i < config.routes.size(); ++i) {
-    config.by_host[normalize_host(config.routes[i].host)].push_back(i);
+    const route& added = config.routes[i];
+    config.by_host[normalize_host(added.host)].push_back(i);
+    config.routed.insert(added.shards.begin(), added.shards.end());
+    for (const weighted_service& target : added.targets) {
+      config.routed.insert(target.service);
+    }
   }
   for (auto& [host, indices] : config.by_host) {
     std::stable_sort(
--- a/src/ibis/serving/connection_quota.cpp
+++ b/src/ibis/serving/connection_quota.cpp
@@ -63,8 +63,11 @@
   quota.to_leaf = std::clamp<std::size_t>(own / leafs, 1,
                                           node.settings.leafs.max_connections_per_leaf);
   // The other half of the quota is kept for hedges and for replacing leafs that fail.
-  // With more nodes than connections, none is opened ahead of need.
-  quota.warm_leafs = own == 0 ? 0 : std::clamp<std::size_t>(own / 2, 1, leafs);
+  quota.warm_leafs = std::clamp<std::size_t>(own / 2, 1, leafs);
+  const bool scarce = own < node.settings.holders.min_own_connections;
+  if (own == 0 || (scarce && !node.configuration->routed.contains(service))) {
+    quota.warm_leafs = 0;
+  }
   return quota;
 }
 
--- a/src/ibis/serving/connections.cpp
+++ b/src/ibis/serving/connections.cpp
@@ -190,6 +190,7 @@
   if (connection.phase == connection_phase::opening) {
     --leaf.opening;
     ++leaf.open;
+    connection.opened_at = ctx.now;
   }
   remove_running(leaf, id);
   connection.phase = connection_phase::idle;
--- a/src/ibis/serving/leaf_events.cpp
+++ b/src/ibis/serving/leaf_events.cpp
@@ -211,9 +211,12 @@
     return;
   }
   ++ctx.node.count.connections_lost;
-  if (!connection->has_answered) {
-    // A leaf that has reached its connection limit accepts a connection, then resets
-    // it.
+  // A leaf that has reached its connection limit accepts a connection, then resets it.
+  // One that ends later without a request was idle for too long.
+  constexpr base::milliseconds limit_reset_delay{500};
+  const bool idled_out = connection->phase == connection_phase::idle &&
+                         ctx.now - connection->opened_at >= limit_reset_delay;
+  if (!connection->has_answered && !idled_out) {
     back_off(*connection->leaf, event.detail, ctx);
   }
   if (connection->phase != connection_phase::busy) {
--- a/src/ibis/serving/leaf_subset.cpp
+++ b/src/ibis/serving/leaf_subset.cpp
@@ -4,22 +4,42 @@
 #include <cstddef>    // for size_t
 #include <tuple>      // for tuple
 
-#include "ibis/base/hash.hpp"  // for hash64
+#include "ibis/base/hash.hpp"      // for hash64
+#include "ibis/serving/state.hpp"  // for service_state
 
 namespace ibis::serving {
+namespace {
 
-std::vector<std::uint64_t> choose_leaf_subset(const std::vector<leaf_ptr>& leafs,
+/// Key of a leaf that has left; no leaf has it.
+constexpr std::uint64_t departed_key = 0;
+
+bool is_recent(base::time_point at, base::time_point now) {
+  return now - at < leaf_news_delay;
+}
+
+}  // namespace
+
+std::vector<std::uint64_t> choose_leaf_subset(const service_state& service,
                                               const std::string& request,
                                               const std::string& zone,
                                               std::size_t count, base::time_point now) {
+  /// Whether the leaf is new, whether it is in another zone, a hash, and its key.
   using rank = std::tuple<bool, bool, std::uint64_t, std::uint64_t>;
+  const auto hash = [&request](const std::string& leaf) {
+    return base::hash64(request + ' ' + leaf);
+  };
   std::vector<rank> ranked;
-  ranked.reserve(leafs.size());
-  for (const leaf_ptr& leaf : leafs) {
-    const bool is_new = now - leaf->joined_at < new_leaf_age;
-    const bool other_zone = leaf->record.availability_zone != zone;
-    ranked.emplace_back(is_new, other_zone,
-                        base::hash64(request + ' ' + leaf->record.id), leaf->key);
+  ranked.reserve(service.leafs.size() + service.departed.size());
+  for (const leaf_ptr& leaf : service.leafs) {
+    ranked.emplace_back(is_recent(leaf->joined_at, now),
+                        leaf->record.availability_zone != zone, hash(leaf->record.id),
+                        leaf->key);
+  }
+  for (const departed_leaf& leaf : service.departed) {
+    if (is_recent(leaf.left_at, now)) {
+      ranked.emplace_back(false, leaf.availability_zone != zone, hash(leaf.id),
+                          departed_key);
+    }
   }
   const std::size_t chosen = std::min(count, ranked.size());
   std::partial_sort(ranked.begin(),
@@ -31,4 +51,12 @@
   return keys;
 }
 
+void note_departed(service_state& service, const leaf_record& leaf,
+                   base::time_point now) {
+  std::erase_if(service.departed, [now](const departed_leaf& other) {
+    return !is_recent(other.left_at, now);
+  });
+  service.departed.push_back({leaf.id, leaf.availability_zone, now});
+}
+
 }  // namespace ibis::serving
--- a/src/ibis/serving/registry.cpp
+++ b/src/ibis/serving/registry.cpp
@@ -16,9 +16,10 @@
 
 /// Removes a leaf from its service, so that it gets no new work.
 void detach(const leaf_ptr& leaf, context& ctx) {
-  auto& leafs = ctx.node.services[leaf->record.service].leafs;
+  service_state& service = ctx.node.services[leaf->record.service];
   ctx.node.holders_outdated = true;
-  leafs.erase(std::remove(leafs.begin(), leafs.end(), leaf), leafs.end());
+  std::erase(service.leafs, leaf);
+  note_departed(service, leaf->record, ctx.now);
   leaf->registration = leaf_registration::removed;
   close_idle(*leaf, ctx);
 }
--- a/src/ibis/serving/shard_requests.cpp
+++ b/src/ibis/serving/shard_requests.cpp
@@ -83,11 +83,14 @@
     pending.tasks[task].active_calls.push_back(call);
     ++pending.tasks[task].sent;
   }
+  pending.shard_calls.push_back(call);
   ++ctx.node.count.shard_calls;
   ctx.out.emplace_back(
       request_shards{*holder, make_request(pending, call, state, repeated, ctx)});
   const base::duration answer_within =
-      progress_delay(pending, ctx) + 2 * reply_margin(*holder, ctx);
+      progress_delay(pending, ctx) + 2 * reply_margin(*holder, ctx) +
+      std::chrono::duration_cast<base::duration>(
+          pending.route->objective * ctx.node.settings.holders.patience_share);
   ctx.add_timer(ctx.now + answer_within, timer_kind::holder_silent, call.value);
   ctx.node.shard_calls.emplace(call, std::move(state));
   return true;
@@ -157,6 +160,21 @@
   answer_if_ready(*pending, ctx);
 }
 
+/// Asks elsewhere for the shards of a call that continues.
+void repeat_call(base::block_call_id id, context& ctx) {
+  const shard_call call = ctx.node.shard_calls.at(id);
+  pending_request* pending = find_pending_request(call.caller, ctx);
+  if (pending == nullptr) {
+    return;
+  }
+  const task_list open = detach_call(*pending, id, call);
+  for (const std::size_t task : open) {
+    pending->tasks[task].may_have_run = true;
+  }
+  ask_elsewhere(*pending, open, call.asked, true, ctx);
+  answer_if_ready(*pending, ctx);
+}
+
 /// Whether the reply names only shards that were asked for, and each only once.
 bool is_valid(const wire::shards_reply& reply, const shard_call& call) {
   std::vector<bool> named(call.tasks.size());
@@ -175,9 +193,10 @@
 /// together: if one of the shards has been answered elsewhere, none of them is used.
 void accept_covered(pending_request& pending, const shard_call& call,
                     const wire::shards_reply& reply, context& ctx) {
-  const bool conflict = std::any_of(
-      reply.covered.begin(), reply.covered.end(),
-      [&](const auto& shard) { return pending.tasks[call.tasks[shard.index]].done; });
+  const bool conflict =
+      std::any_of(reply.covered.begin(), reply.covered.end(), [&](const auto& shard) {
+        return pending.tasks[call.tasks[shard.index]].part != nullptr;
+      });
   if (conflict) {
     ctx.log("shards_reply_ignored", {{"request", pending.request->id},
                                      {"holder", call.holder.node},
@@ -194,6 +213,7 @@
       records = nullptr;
     }
     task.part = std::move(answer);
+    pending.given_up -= task.done ? 1 : 0;
     task.done = true;
     ++pending.parts;
   }
@@ -311,20 +331,25 @@
   }
   const std::string node = found->second.holder.node;
   ++ctx.node.count.holders_silent;
-  ctx.log("holder_silent", {{"holder", node}}, true);
+  const bool was_silent = ctx.node.holder_health.contains(node);
+  ctx.log("holder_silent", {{"holder", node}, {"again", was_silent ? "true" : "false"}},
+          true);
   avoid_holder(node, ctx.node.settings.holders.silent_backoff, ctx);
-  // Requests to a peer that has fallen silent are retried when the connection ends.
-  ctx.out.emplace_back(reset_holder_connection{node});
+  if (was_silent) {
+    // Its requests are retried when the connection ends.
+    ctx.out.emplace_back(reset_holder_connection{node});
+    return;
+  }
+  // The holder may only be slow. Its reply is still used if it comes first.
+  repeat_call(call, ctx);
 }
 
 void cancel_shard_calls(const pending_request& pending, context& ctx) {
-  for (const task_state& task : pending.tasks) {
-    for (const base::block_call_id id : task.active_calls) {
-      const auto found = ctx.node.shard_calls.find(id);
-      if (found != ctx.node.shard_calls.end()) {
-        ctx.out.emplace_back(cancel_shards{found->second.holder.node, id});
-        ctx.node.shard_calls.erase(found);
-      }
+  for (const base::block_call_id id : pending.shard_calls) {
+    const auto found = ctx.node.shard_calls.find(id);
+    if (found != ctx.node.shard_calls.end()) {
+      ctx.out.emplace_back(cancel_shards{found->second.holder.node, id});
+      ctx.node.shard_calls.erase(found);
     }
   }
 }
