--- a/include/ibis/base/time.hpp
+++ b/include/ibis/base/time.hpp
@@ -43,6 +43,10 @@
 /// @return The duration in milliseconds, with a fractional part.
 double to_ms(duration value);
 
+/// @return The time since the machine started, including time for which it was
+/// suspended. Pausing `clock` does not affect it.
+std::chrono::microseconds boot_now();
+
 /// @return The wall-clock time (UTC) since the Unix epoch. Pausing `clock` does not
 /// affect it.
 std::chrono::milliseconds unix_now();
--- a/include/ibis/reactor/peer_link.hpp
+++ b/include/ibis/reactor/peer_link.hpp
@@ -11,6 +11,7 @@
 #include "ibis/base/error.hpp"               // for result
 #include "ibis/reactor/leaf_connection.hpp"  // for event_callback
 #include "ibis/reactor/protocol.hpp"         // for protocol
+#include "ibis/reactor/transit_delay.hpp"    // for transit_delay
 #include "ibis/runtime/peer_transport.hpp"   // for peer_transport
 
 namespace ibis::reactor {
@@ -62,6 +63,7 @@
 
   const protocol& protocol_;  // NOLINT(*-avoid-const-or-ref-data-members)
   event_callback on_event_;
+  transit_delay delay_;  ///< Of requests for shards.
   runtime::peer_transport transport_;
 };
 
--- a/include/ibis/serving/event.hpp
+++ b/include/ibis/serving/event.hpp
@@ -157,6 +157,8 @@
 struct shards_requested {
   std::string node;
   wire::shards_request request;
+  /// How much longer the request took to be read than others of that node.
+  base::microseconds delay{0};
 };
 
 /// A holder replied to a request for shards.
--- a/include/ibis/serving/settings.hpp
+++ b/include/ibis/serving/settings.hpp
@@ -150,7 +150,7 @@
   extra_budget_settings budget;  ///< For all nodes together.
   /// Time that a request and its answer travel between client and node; subtracted from
   /// a route's objective.
-  base::milliseconds travel_margin{9};
+  base::milliseconds travel_margin{13};
   /// Subtracted as well if the client had to open a connection first.
   base::milliseconds connect_margin{7};
   base::milliseconds default_timeout{5000};  ///< If the client states no deadline.
--- a/include/ibis/wire/messages.hpp
+++ b/include/ibis/wire/messages.hpp
@@ -233,6 +233,8 @@
   base::microseconds reply{0};
   base::microseconds remaining{0};  ///< Time left until the request's deadline.
   std::string availability_zone;    ///< Of the node that has the client.
+  /// Time since that node's machine started, when it sent the request.
+  base::microseconds sent_at{0};
   /// The shards may have been queried for this request before, through another node.
   bool repeated = false;
   bool operator==(const shards_request&) const = default;
--- a/src/ibis/base/time.cpp
+++ b/src/ibis/base/time.cpp
@@ -1,6 +1,7 @@
 #include "ibis/base/time.hpp"
 
 #include <atomic>  // for atomic
+#include <ctime>   // for clock_gettime
 
 namespace ibis::base {
 namespace {
@@ -52,6 +53,16 @@
   return std::chrono::duration<double, std::milli>(value).count();
 }
 
+std::chrono::microseconds boot_now() {
+  constexpr std::chrono::seconds::rep ns_per_us = 1000;
+  timespec time{};
+  if (clock_gettime(CLOCK_BOOTTIME, &time) != 0) {
+    return std::chrono::microseconds(0);
+  }
+  return std::chrono::seconds(time.tv_sec) +
+         std::chrono::microseconds(time.tv_nsec / ns_per_us);
+}
+
 std::chrono::milliseconds unix_now() {
   const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
   return std::chrono::duration_cast<std::chrono::milliseconds>(since_epoch);
--- a/src/ibis/reactor/peer_link.cpp
+++ b/src/ibis/reactor/peer_link.cpp
@@ -74,7 +74,8 @@
 
 bool peer_link::on_shards_message(const std::string& node, const wire::message& body) {
   if (const auto* request = std::get_if<wire::shards_request>(&body)) {
-    on_event_(serving::shards_requested{node, *request});
+    on_event_(serving::shards_requested{
+        node, *request, delay_.measure(node, request->sent_at, base::boot_now())});
   } else if (const auto* reply = std::get_if<wire::shards_reply>(&body)) {
     on_event_(serving::shards_replied{node, *reply});
   } else if (const auto* cancel = std::get_if<wire::block_cancel>(&body)) {
@@ -151,8 +152,10 @@
 }
 
 void peer_link::send_shards_request(const serving::request_shards& effect) {
+  wire::shards_request request = effect.request;
+  request.sent_at = base::boot_now();
   transport_.send(effect.to.node, wire::channel::data, effect.to.address,
-                  effect.request);
+                  std::move(request));
 }
 
 void peer_link::send_shards_reply(const serving::reply_shards& effect) {
--- a/src/ibis/serving/connections.cpp
+++ b/src/ibis/serving/connections.cpp
@@ -52,6 +52,9 @@
 }
 
 void retire_idle(leaf_state& leaf, context& ctx) {
+  if (leaf.idle.empty()) {
+    return;
+  }
   const std::size_t warm_leafs =
       connection_quota_of(ctx.node, leaf.record.service, ctx.now).warm_leafs;
   const base::milliseconds surplus_limit =
--- a/src/ibis/serving/shard_replies.cpp
+++ b/src/ibis/serving/shard_replies.cpp
@@ -14,6 +14,7 @@
 
 /// Marks ids of callers that are other nodes; those of clients are below it.
 constexpr std::uint64_t remote_caller_bit = 1ULL << 63U;
+constexpr base::microseconds::rep us_per_ms = 1000;
 
 std::shared_ptr<const route> make_route(const wire::shards_request& request) {
   route value;
@@ -53,6 +54,13 @@
   ctx.out.emplace_back(reply_shards{event.node, std::move(reply)});
 }
 
+/// Whether the reply would come too late.
+bool is_outdated(const shards_requested& event) {
+  const base::microseconds reply = event.request.reply;
+  const bool objective_missed = reply.count() > 0 && event.delay >= reply;
+  return objective_missed || event.delay >= event.request.remaining;
+}
+
 void note_asked(const std::vector<std::string>& shards, context& ctx) {
   const base::time_point until = ctx.now + ctx.node.settings.holders.held_for;
   for (const std::string& shard : shards) {
@@ -141,6 +149,15 @@
     refuse(event, ctx);
     return;
   }
+  if (is_outdated(event)) {
+    // The node has asked another holder or answered its client by now.
+    ctx.log("shards_request_outdated",
+            {{"request", request.request_id},
+             {"for", event.node},
+             {"delay_ms", std::to_string(event.delay.count() / us_per_ms)}});
+    refuse(event, ctx);
+    return;
+  }
   note_asked(request.shards, ctx);
   pending_request pending;
   pending.caller = base::caller_id{remote_caller_bit | ctx.next_id()};
@@ -149,13 +166,13 @@
   pending.own_route = make_route(request);
   pending.route = pending.own_route.get();
   pending.arrived = ctx.now;
-  pending.deadline = ctx.now + request.remaining;
+  pending.deadline = ctx.now + request.remaining - event.delay;
   pending.effective_deadline = pending.deadline;
-  pending.objective_deadline = ctx.now + request.reply;
+  pending.objective_deadline = ctx.now + request.reply - event.delay;
   pending.remote = remote_caller{event.node, request.call, request.availability_zone,
                                  request.repeated};
   ctx.node.remote_callers[{event.node, request.call}] = pending.caller;
-  ctx.add_timer(ctx.now + request.progress, timer_kind::progress_reply,
+  ctx.add_timer(ctx.now + request.progress - event.delay, timer_kind::progress_reply,
                 pending.caller.value);
   start_request(std::move(pending), ctx);
 }
--- a/src/ibis/wire/codec.cpp
+++ b/src/ibis/wire/codec.cpp
@@ -178,13 +178,14 @@
     const auto body = out.CreateString(value.body);
     const auto shards = out.CreateVectorOfStrings(value.shards);
     const auto zone = out.CreateString(value.availability_zone);
-    finish(fb::body::shards_request,
-           fb::Createshards_request(
-               out, value.call.value, route, method, target, host, request_id, head,
-               body, shards, value.top, value.min_shard_share, value.max_leafs,
-               value.priority, value.objective.count(), value.progress.count(),
-               value.reply.count(), value.remaining.count(), zone, value.repeated)
-               .Union());
+    finish(
+        fb::body::shards_request,
+        fb::Createshards_request(
+            out, value.call.value, route, method, target, host, request_id, head, body,
+            shards, value.top, value.min_shard_share, value.max_leafs, value.priority,
+            value.objective.count(), value.progress.count(), value.reply.count(),
+            value.remaining.count(), zone, value.sent_at.count(), value.repeated)
+            .Union());
   }
   void operator()(const shards_reply& value) const {
     const auto covered = write_list(out, value.covered, write_covered);
@@ -340,6 +341,7 @@
   value.reply = base::microseconds(source.reply_us());
   value.remaining = base::microseconds(source.remaining_us());
   value.availability_zone = read_string(source.availability_zone());
+  value.sent_at = base::microseconds(source.sent_at_us());
   value.repeated = source.repeated();
   return value;
 }
--- a/src/ibis/wire/codec_test.cpp
+++ b/src/ibis/wire/codec_test.cpp
@@ -76,6 +76,7 @@
   request.reply = base::microseconds(130000);
   request.remaining = base::microseconds(800000);
   request.availability_zone = "praha-a";
+  request.sent_at = base::microseconds(123456789);
   request.repeated = true;
   return request;
 }
--- a/standins/holder_fleet.cpp
+++ b/standins/holder_fleet.cpp
@@ -133,7 +133,10 @@
     std::optional<base::time_point> next;
     std::string due;
     for (const auto& [name, node] : nodes) {
-      const auto tick = serving::next_tick(node.state);
+      auto tick = serving::next_tick(node.state);
+      if (tick) {
+        tick = std::max(*tick, node.stalled_until);
+      }
       if (node.alive && tick && (!next || *tick < *next)) {
         next = tick;
         due = name;
@@ -178,6 +181,16 @@
 
 void holder_fleet::deliver_event(const std::string& node, const serving::event& event) {
   fleet_node& target = nodes.at(node);
+  if (target.stalled_until > now_) {
+    queue_.add(target.stalled_until, [this, node, event, arrived = now_] {
+      serving::event delayed = event;
+      if (auto* request = std::get_if<serving::shards_requested>(&delayed)) {
+        request->delay = std::chrono::duration_cast<base::microseconds>(now_ - arrived);
+      }
+      deliver_event(node, delayed);
+    });
+    return;
+  }
   if (target.alive) {
     carry_out(node, serving::reduce(target.state, event, now_));
   }
--- a/standins/holder_fleet.hpp
+++ b/standins/holder_fleet.hpp
@@ -32,6 +32,8 @@
     serving::node_state state;
     bool alive = true;    ///< A dead node refuses connections.
     bool silent = false;  ///< Messages to and from it are lost without notice.
+    /// Until when it does not run; what arrives meanwhile is read then.
+    base::time_point stalled_until{};
     std::optional<std::size_t> aborted_requests;  ///< Set once it has stopped.
   };
   /// A leaf; tests change the members at any time.
--- a/tests/serving_holders_test.cpp
+++ b/tests/serving_holders_test.cpp
@@ -212,6 +212,35 @@
   }
 }
 
+TEST_CASE("A holder that was stalled does not start requests that are outdated") {
+  holder_fleet fleet(8, 40);
+  populate(fleet);
+  const std::string asking = node_name(2, 0);
+  const std::string holder = fleet.first_holder(asking, "s0");
+  fleet.nodes.at(holder).stalled_until = fleet.now() + milliseconds(300);
+  const auto caller = fleet.send_request(asking, "r1", "/q/");
+  fleet.run_for(milliseconds(250));
+  CHECK(is_complete(fleet.find_answer(caller)));
+  const std::size_t before = count_arrivals(fleet, "r1");
+  fleet.run_for(seconds(1));
+  CHECK(count_arrivals(fleet, "r1") == before);
+}
+
+TEST_CASE(
+    "A node that was stalled reads waiting answers before it takes leafs for late") {
+  holder_fleet fleet(9, 40);
+  populate(fleet);
+  const std::string asking = node_name(2, 0);
+  const std::string holder = fleet.first_holder(asking, "s0");
+  fleet.send_request(asking, "r1", "/q/");
+  fleet.run_for(milliseconds(3));
+  // All its leafs answer during the stall.
+  const std::uint64_t hedges = fleet.nodes.at(holder).state.count.hedges;
+  fleet.nodes.at(holder).stalled_until = fleet.now() + milliseconds(60);
+  fleet.run_for(seconds(1));
+  CHECK(fleet.nodes.at(holder).state.count.hedges == hedges);
+}
+
 TEST_CASE("A holder stops the work for a client that has left") {
   holder_fleet fleet(5, 40);
   populate(fleet);
