Answers without end cost a leaf its connection after 2 MiB; five faults seen by reading

Failed first: of eleven kinds of endless answers six were read up to 256 MB (a chunk extension, trailers, interim answers, answers to another request) or 64 MB and more.

--- a/include/ibis/reactor/leaf_connection.hpp
+++ b/include/ibis/reactor/leaf_connection.hpp
@@ -59,6 +59,7 @@
   std::string input_;   ///< Bytes received but not parsed yet.
   std::string output_;  ///< The serialized request.
   std::size_t bytes_written_ = 0;
+  std::size_t received_bytes_ = 0;  ///< Since the current request was sent.
   bool closed_ = false;
   bool awaiting_response_ = false;
   bool for_head_request_ = false;
--- a/include/ibis/reactor/node_loop.hpp
+++ b/include/ibis/reactor/node_loop.hpp
@@ -69,8 +69,9 @@
 
  private:
   struct listener {
-    explicit listener(asio::io_context& io) : acceptor(io) {}
+    explicit listener(asio::io_context& io) : acceptor(io), retry_timer(io) {}
     asio::ip::tcp::acceptor acceptor;
+    asio::steady_timer retry_timer;  ///< Delays accepting after an error.
     session_hooks hooks;
     std::unordered_set<std::shared_ptr<server_session>> sessions;
   };
@@ -78,6 +79,8 @@
   base::result<void> bind(listener& target, const std::string& address);
   base::result<void> start_peer_link();
   void accept(listener& target);
+  /// Accepts again after a delay.
+  void accept_later(listener& target);
   void set_hooks();
   void on_client_request(const std::shared_ptr<server_session>& session,
                          http::request&& value);
--- a/src/ibis/http/message.cpp
+++ b/src/ibis/http/message.cpp
@@ -8,10 +8,18 @@
 namespace {
 
 /// Fields that are never forwarded: hop-by-hop fields and those that frame the body.
-constexpr std::array<std::string_view, 10> connection_specific_fields{
-    "connection", "keep-alive",        "proxy-connection", "te",
-    "trailer",    "transfer-encoding", "upgrade",          "content-length",
-    "expect",     "proxy-authenticate"};
+constexpr std::array<std::string_view, 11> connection_specific_fields{
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "content-length",
+    "expect",
+    "proxy-authenticate",
+    "proxy-authorization"};
 
 char to_lower_ascii(char character) {
   const bool is_uppercase = character >= 'A' && character <= 'Z';
--- a/src/ibis/http/parser.cpp
+++ b/src/ibis/http/parser.cpp
@@ -1,5 +1,6 @@
 #include "ibis/http/parser.hpp"
 
+#include <algorithm>                          // for min
 #include <boost/asio/buffer.hpp>              // for buffer
 #include <boost/beast/http/basic_parser.hpp>  // for basic_parser
 #include <utility>                            // for move
@@ -49,8 +50,11 @@
   }
   void on_header_impl(boost_error& /*ec*/) override {}
   void on_body_init_impl(const optional_length& length, boost_error& /*ec*/) override {
+    // The announced length may be false.
+    constexpr std::uint64_t max_reserved_bytes = 64ULL * 1024;
     if (length) {
-      message.body.reserve(static_cast<std::size_t>(*length));
+      message.body.reserve(static_cast<std::size_t>(
+          std::min<std::uint64_t>(*length, max_reserved_bytes)));
     }
   }
   std::size_t on_body_impl(text body, boost_error& /*ec*/) override {
--- a/src/ibis/reactor/leaf_connection.cpp
+++ b/src/ibis/reactor/leaf_connection.cpp
@@ -7,7 +7,10 @@
 namespace ibis::reactor {
 namespace {
 
-constexpr http::parse_limits response_limits{64 * 1024, 64ULL * 1024 * 1024};
+constexpr http::parse_limits response_limits{64 * 1024, 1024 * 1024};
+/// Limit of all bytes that a leaf may send for a request: the response with its
+/// framing, interim responses and responses to other requests.
+constexpr std::size_t max_received_bytes = 2UL * 1024 * 1024;
 /// TCP keep-alive probes. Requests have their own timeouts; this detects idle
 /// connections whose peer no longer responds.
 constexpr runtime::keepalive_limits leaf_keepalive{std::chrono::seconds(4),
@@ -64,6 +67,7 @@
   parser_.emplace(response_limits, for_head_request_);
   output_.clear();
   bytes_written_ = 0;
+  received_bytes_ = 0;
   protocol_.append_leaf_request(output_, effect);
   write();
 }
@@ -112,6 +116,11 @@
     close_and_report_lost("unexpected bytes without a request in flight");
     return;
   }
+  received_bytes_ += size;
+  if (received_bytes_ > max_received_bytes) {
+    close_and_report_lost("response without end");
+    return;
+  }
   input_.append(read_buffer_.data(), size);
   parse();
   if (!closed_) {
--- a/src/ibis/reactor/node_loop.cpp
+++ b/src/ibis/reactor/node_loop.cpp
@@ -187,16 +187,28 @@
         }
         if (ec) {
           write_log({"accept_failed", true, {{"detail", ec.message()}}});
-        } else {
-          const auto session =
-              std::make_shared<server_session>(std::move(socket), target.hooks);
-          target.sessions.insert(session);
-          session->start();
+          accept_later(target);
+          return;
         }
+        const auto session =
+            std::make_shared<server_session>(std::move(socket), target.hooks);
+        target.sessions.insert(session);
+        session->start();
         accept(target);
       });
 }
 
+void node_loop::accept_later(listener& target) {
+  // An error such as a lack of descriptors would return at once.
+  constexpr std::chrono::milliseconds delay{100};
+  target.retry_timer.expires_after(delay);
+  target.retry_timer.async_wait([this, &target](const asio::error_code& ec) {
+    if (!ec && target.acceptor.is_open()) {
+      accept(target);
+    }
+  });
+}
+
 void node_loop::on_client_request(const std::shared_ptr<server_session>& session,
                                   http::request&& value) {
   const base::caller_id caller{++last_caller_id_};
--- a/src/ibis/reactor/node_metrics.cpp
+++ b/src/ibis/reactor/node_metrics.cpp
@@ -2,7 +2,9 @@
 
 #include <sys/resource.h>  // for getrusage
 
-#include <sstream>  // for ostringstream
+#include <algorithm>  // for count_if
+#include <array>      // for array
+#include <sstream>    // for ostringstream
 
 namespace ibis::reactor {
 namespace {
@@ -16,10 +18,45 @@
   out << "# TYPE ibis_" << name << " gauge\nibis_" << name << ' ' << value << '\n';
 }
 
+/// Escapes a label's value as the text format requires.
+std::string escape_label(const std::string& value) {
+  std::string escaped;
+  for (const char character : value) {
+    if (character == '\\' || character == '"') {
+      escaped += '\\';
+    }
+    if (character == '\n') {
+      escaped += "\\n";
+    } else {
+      escaped += character;
+    }
+  }
+  return escaped;
+}
+
+void write_view_ages(std::ostringstream& out, const serving::node_state& node,
+                     base::time_point now) {
+  constexpr std::array<const char*, serving::store_topic_count> names{"configuration",
+                                                                      "leafs"};
+  out << "# TYPE ibis_store_view_age_ms gauge\n";
+  for (std::size_t topic = 0; topic < names.size(); ++topic) {
+    out << "ibis_store_view_age_ms{topic=\"" << names[topic] << "\"} "
+        << base::to_ms(now - node.topics[topic].last_current_at) << '\n';
+  }
+}
+
+/// @return For how many blocks of shards this node holds the connections.
+std::size_t count_held_blocks(const serving::node_state& node) {
+  const auto& blocks = node.holders.blocks;
+  return static_cast<std::size_t>(
+      std::count_if(blocks.begin(), blocks.end(),
+                    [](const serving::shard_block& block) { return block.held_here; }));
+}
+
 void write_histogram(std::ostringstream& out, const std::string& route,
                      const runtime::latency_histogram& histogram) {
   const std::string name = "ibis_request_latency_ms";
-  const std::string label = "route=\"" + route + '"';
+  const std::string label = "route=\"" + escape_label(route) + '"';
   for (std::size_t i = 0; i < runtime::bucket_bounds_ms.size(); ++i) {
     out << name << "_bucket{" << label << ",le=\"" << runtime::bucket_bounds_ms[i]
         << "\"} " << histogram.cumulative_count(i) << '\n';
@@ -46,6 +83,10 @@
   write_counter(out, "peer_questions", count.peer_questions);
   write_counter(out, "peer_failures", count.peer_failures);
   write_counter(out, "configurations_applied", count.catalogs);
+  write_counter(out, "holder_requests", count.shard_calls);
+  write_counter(out, "holder_requests_repeated", count.shard_calls_repeated);
+  write_counter(out, "holders_silent", count.holders_silent);
+  write_counter(out, "holder_requests_served", count.shards_served);
 }
 
 void write_process(std::ostringstream& out) {
@@ -92,9 +133,9 @@
       node.configuration ? static_cast<double>(node.configuration->version) : 0;
   write_gauge(out, "configuration_version", version);
   write_gauge(out, "store_reachable", node.store_unavailable ? 0 : 1);
-  for (const serving::topic_state& topic : node.topics) {
-    write_gauge(out, "store_view_age_ms", base::to_ms(now - topic.last_current_at));
-  }
+  write_view_ages(out, node, now);
+  write_gauge(out, "shard_blocks", static_cast<double>(node.holders.blocks.size()));
+  write_gauge(out, "shard_blocks_held", static_cast<double>(count_held_blocks(node)));
   write_process(out);
   out << "# TYPE ibis_request_latency_ms histogram\n";
   for (const auto& [route, histogram] : metrics.latencies) {
