--- a/include/ibis/wire/codec.hpp
+++ b/include/ibis/wire/codec.hpp
@@ -2,10 +2,12 @@
 /// is verified before it is read.
 #pragma once
 
-#include <cstddef>  // for size_t
-#include <cstdint>  // for uint8_t
-#include <span>     // for span
-#include <string>   // for string
+#include <cstddef>   // for size_t
+#include <cstdint>   // for uint8_t
+#include <optional>  // for optional
+#include <span>      // for span
+#include <string>    // for string
+#include <vector>    // for vector
 
 #include "ibis/base/error.hpp"     // for result
 #include "ibis/wire/messages.hpp"  // for message
@@ -33,4 +35,16 @@
 /// Verifies and decodes a body. The error is `protocol` if it is malformed.
 base::result<message> decode_body(std::span<const std::uint8_t> body);
 
+/// Decodes all complete frames at the start of received bytes, and removes them.
+///
+/// @param input The received bytes; keeps those of an incomplete frame.
+/// @param messages The decoded messages are added here.
+/// @return The error of the first frame that is malformed; nothing after it is decoded.
+std::optional<base::error> take_frames(std::vector<std::uint8_t>& input,
+                                       std::vector<message>& messages);
+
+/// Removes requests for shards that a later message cancels, together with the
+/// cancellation. Use it on messages that are handled one after the other.
+void remove_cancelled(std::vector<message>& messages);
+
 }  // namespace ibis::wire
--- a/src/ibis/runtime/peer_session.cpp
+++ b/src/ibis/runtime/peer_session.cpp
@@ -1,7 +1,6 @@
 #include "peer_session.hpp"
 
 #include <asio/buffer.hpp>  // for buffer
-#include <asio/read.hpp>    // for async_read
 #include <asio/write.hpp>   // for async_write
 #include <utility>          // for move
 
@@ -64,54 +63,66 @@
 void peer_session::start() {
   open_ = true;
   configure_socket(socket_, peer_keepalive);
-  read_header();
+  asio::error_code failure;
+  socket_.non_blocking(true, failure);
+  if (failure) {
+    close(unavailable_error("configure socket", address, failure));
+    return;
+  }
+  wait_for_data();
   write_next();
 }
 
-void peer_session::read_header() {
-  asio::async_read(
-      socket_, asio::buffer(header_),
-      [self = shared_from_this()](const asio::error_code& failure,
-                                  std::size_t /*size*/) {
-        if (failure) {
-          self->close(unavailable_error("read frame", self->address, failure));
-          return;
-        }
-        const auto size = wire::decode_header(self->header_);
-        if (!size) {
-          base::error problem = size.error();
-          problem.peer = self->address;
-          self->close(problem);
+void peer_session::wait_for_data() {
+  socket_.async_wait(
+      asio::ip::tcp::socket::wait_read,
+      [self = shared_from_this()](const asio::error_code& failure) {
+        if (self->closed_) {
           return;
         }
-        self->read_body(size.value());
-      });
-}
-
-void peer_session::read_body(std::size_t size) {
-  body_.resize(size);
-  asio::async_read(
-      socket_, asio::buffer(body_),
-      [self = shared_from_this()](const asio::error_code& failure, std::size_t read) {
         if (failure) {
           self->close(unavailable_error("read frame", self->address, failure));
           return;
         }
-        self->received_bytes_ += read + wire::header_size;
-        auto decoded = wire::decode_body(self->body_);
-        if (!decoded) {
-          base::error problem = decoded.error();
-          problem.peer = self->address;
-          self->close(problem);
-          return;
-        }
-        self->hooks_.on_message(*self, std::move(decoded.value()));
-        if (!self->closed_) {
-          self->read_header();
-        }
+        self->read_available();
       });
 }
 
+void peer_session::read_available() {
+  constexpr std::size_t buffer_bytes = 64UL * 1024;
+  std::array<char, buffer_bytes> buffer;  // NOLINT(*-member-init): read_some fills it.
+  asio::error_code failure;
+  const std::size_t size = socket_.read_some(asio::buffer(buffer), failure);
+  if (failure && failure != asio::error::would_block) {
+    close(unavailable_error("read frame", address, failure));
+    return;
+  }
+  received_bytes_ += size;
+  input_.insert(input_.end(), buffer.begin(),
+                buffer.begin() + static_cast<std::ptrdiff_t>(size));
+  deliver_frames();
+  if (!closed_) {
+    wait_for_data();
+  }
+}
+
+void peer_session::deliver_frames() {
+  std::vector<wire::message> messages;
+  const auto failure = wire::take_frames(input_, messages);
+  wire::remove_cancelled(messages);
+  for (wire::message& body : messages) {
+    if (closed_) {
+      return;
+    }
+    hooks_.on_message(*this, std::move(body));
+  }
+  if (failure && !closed_) {
+    base::error problem = *failure;
+    problem.peer = address;
+    close(problem);
+  }
+}
+
 void peer_session::send(wire::message body) {
   std::string bytes = wire::encode(body);
   queued_bytes_ += bytes.size();
--- a/src/ibis/runtime/peer_session.hpp
+++ b/src/ibis/runtime/peer_session.hpp
@@ -72,15 +72,16 @@
     std::string bytes;
   };
   void start();
-  void read_header();
-  void read_body(std::size_t size);
+  void wait_for_data();
+  void read_available();
+  /// Delivers the messages that have arrived completely.
+  void deliver_frames();
   void write_next();
 
   asio::ip::tcp::socket socket_;
   steady_timer timer_;
   hooks hooks_;
-  std::array<std::uint8_t, wire::header_size> header_{};
-  std::vector<std::uint8_t> body_;
+  std::vector<std::uint8_t> input_;  ///< Bytes received but not decoded yet.
   std::deque<outgoing> queue_;
   std::size_t queued_bytes_ = 0;
   std::uint64_t sent_bytes_ = 0;
--- a/src/ibis/wire/codec_test.cpp
+++ b/src/ibis/wire/codec_test.cpp
@@ -1,5 +1,6 @@
 #include "ibis/wire/codec.hpp"
 
+#include <algorithm>         // for min
 #include <array>             // for array
 #include <catch2/catch.hpp>  // for TEST_CASE, CHECK
 #include <random>            // for mt19937_64
@@ -113,6 +114,56 @@
   CHECK(std::get<topic_news>(round_trip(news)) == news);
 }
 
+std::vector<std::uint8_t> bytes_of(const std::vector<message>& messages) {
+  std::vector<std::uint8_t> bytes;
+  for (const message& value : messages) {
+    const std::string frame = encode(value);
+    bytes.insert(bytes.end(), frame.begin(), frame.end());
+  }
+  return bytes;
+}
+
+TEST_CASE("Frames are taken from received bytes however these are split") {
+  const std::vector<std::uint8_t> all =
+      bytes_of({sample_shards_request(), sample_reply(), topic_watch{3, 1, 77}});
+  for (const std::size_t step : {std::size_t{1}, std::size_t{7}, all.size()}) {
+    std::vector<std::uint8_t> input;
+    std::vector<message> messages;
+    for (std::size_t at = 0; at < all.size(); at += step) {
+      const auto first = all.begin() + static_cast<std::ptrdiff_t>(at);
+      const std::size_t size = std::min(step, all.size() - at);
+      input.insert(input.end(), first, first + static_cast<std::ptrdiff_t>(size));
+      CHECK_FALSE(take_frames(input, messages));
+    }
+    REQUIRE(messages.size() == 3);
+    CHECK(std::get<shards_request>(messages[0]) == sample_shards_request());
+    CHECK(std::get<block_reply>(messages[1]) == sample_reply());
+    CHECK(input.empty());
+  }
+}
+
+TEST_CASE(
+    "Messages before a malformed frame are kept, and a false length is an error") {
+  std::vector<std::uint8_t> input = bytes_of({topic_watch{3, 1, 77}});
+  input.insert(input.end(), {0xff, 0xff, 0xff, 0x7f, protocol_version});
+  std::vector<message> messages;
+  const auto failure = take_frames(input, messages);
+  REQUIRE(failure);
+  CHECK(failure->code == base::error_code::too_large);
+  CHECK(messages.size() == 1);
+}
+
+TEST_CASE("A request for shards that was cancelled while it waited is not handled") {
+  shards_request other = sample_shards_request();
+  other.call = {8};
+  std::vector<message> messages{block_cancel{{9}}, sample_shards_request(), other,
+                                block_cancel{{7}}};
+  remove_cancelled(messages);
+  REQUIRE(messages.size() == 2);
+  CHECK(std::get<block_cancel>(messages[0]).call.value == 9);
+  CHECK(std::get<shards_request>(messages[1]).call.value == 8);
+}
+
 TEST_CASE("A header with another protocol version or an excessive size is refused") {
   std::array<std::uint8_t, header_size> header{4, 0, 0, 0, protocol_version};
   CHECK(decode_header(header).value() == 4);
