--- a/src/ibis/reactor/leaf_connection.cpp
+++ b/src/ibis/reactor/leaf_connection.cpp
@@ -7,7 +7,7 @@
 namespace ibis::reactor {
 namespace {
 
-constexpr http::parse_limits response_limits{64 * 1024, 1024 * 1024};
+constexpr http::parse_limits response_limits{64UL * 1024, 1024UL * 1024};
 /// Limit of all bytes that a leaf may send for a request: the response with its
 /// framing, interim responses and responses to other requests.
 constexpr std::size_t max_received_bytes = 2UL * 1024 * 1024;
