--- a/src/ibis/reactor/process_settings.cpp
+++ b/src/ibis/reactor/process_settings.cpp
@@ -53,6 +53,24 @@
   value.peers.watchers = watchers;
 }
 
+void read_holders(config::reader& root, serving::node_settings& value) {
+  constexpr std::uint32_t max_connections = 10000;
+  constexpr std::uint32_t max_block_shards = 1000;
+  constexpr std::uint32_t max_per_zone = 100;
+  serving::holder_settings& holders = value.holders;
+  auto min_own = static_cast<std::uint32_t>(holders.min_own_connections);
+  auto block_shards = static_cast<std::uint32_t>(holders.block_shards);
+  auto per_zone = static_cast<std::uint32_t>(holders.per_zone);
+  config::reader settings = root.child("holders");
+  settings.read("min_own_connections", min_own, std::uint32_t{0}, max_connections);
+  settings.read("block_shards", block_shards, std::uint32_t{1}, max_block_shards);
+  settings.read("per_zone", per_zone, std::uint32_t{1}, max_per_zone);
+  settings.report_unknown_keys();
+  holders.min_own_connections = min_own;
+  holders.block_shards = block_shards;
+  holders.per_zone = per_zone;
+}
+
 void read_hedging(config::reader& root, serving::node_settings& value) {
   config::reader hedge = root.child("hedging");
   hedge.read("quantile", value.hedge.quantile, 0.5, 0.999);
@@ -85,6 +103,7 @@
   read_stop(root, value.serving);
   read_hedging(root, value.serving);
   read_peers(root, value.serving);
+  read_holders(root, value.serving);
   root.read("travel_margin_ms", value.serving.travel_margin, milliseconds(0),
             max_margin);
   root.read("connect_margin_ms", value.serving.connect_margin, milliseconds(0),
--- a/src/ibis/reactor/process_settings_test.cpp
+++ b/src/ibis/reactor/process_settings_test.cpp
@@ -24,6 +24,11 @@
   grace_s: 6
 peers:
   watchers: 3
+holders:
+  min_own_connections: 6
+  block_shards: 20
+  per_zone: 3
+first_start: true
 hedging:
   quantile: 0.93
 log:
@@ -69,6 +74,10 @@
   CHECK(parsed.value.serving.node == "front-1");
   CHECK(parsed.value.serving.peers.watchers == 3);
   CHECK(parsed.value.serving.budget.slack == 52);
+  CHECK(parsed.value.serving.holders.min_own_connections == 6);
+  CHECK(parsed.value.serving.holders.block_shards == 20);
+  CHECK(parsed.value.serving.holders.per_zone == 3);
+  CHECK(parsed.value.serving.first_start);
   CHECK_FALSE(parsed.value.log.log_requests);
 }
 
@@ -77,6 +86,9 @@
   CHECK(count_errors(valid_settings + "surprise: 1\n") == 1);
   CHECK(count_errors("peers: {watchers: -1}\n" +
                      valid_settings.substr(0, valid_settings.find("peers:\n"))) >= 1);
+  std::string no_holders = valid_settings;
+  no_holders.replace(no_holders.find("per_zone: 3"), 11, "per_zone: 0");
+  CHECK(count_errors(no_holders) == 1);
   CHECK(count_errors("[1, 2]") >= 1);
   CHECK(count_errors("") >= 1);
 }
