Holders whose views differ over new leafs send to no more leafs than a route allows

One holder knew two of three leafs, the other all three, and both chose the first two of what they knew: a third leaf got 9 requests. While a leaf is new, each node now chooses one leaf, and none once as many nodes as leafs are allowed may have sent the request. A refusal after a silent holder no longer forgets that holder.

--- a/include/ibis/serving/attempt.hpp
+++ b/include/ibis/serving/attempt.hpp
@@ -38,8 +38,9 @@
 
 /// Restricts the leafs of a task that another node may have sent or may send too.
 /// @param zone Availability zone of the node that has the client.
+/// @param sent_before How many nodes may have sent it before.
 void restrict_leafs(const pending_request& pending, task_state& task,
-                    const std::string& zone, context& ctx);
+                    const std::string& zone, std::uint32_t sent_before, context& ctx);
 
 /// Marks a task as done without an answer.
 void give_up_task(pending_request& pending, task_state& task);
--- a/include/ibis/serving/state.hpp
+++ b/include/ibis/serving/state.hpp
@@ -93,7 +93,7 @@
   std::string node;
   base::block_call_id call;
   std::string availability_zone;
-  bool repeated = false;  ///< See `wire::shards_request::repeated`.
+  std::uint32_t sent_before = 0;  ///< See `wire::shards_request::sent_before`.
 };
 
 /// A request of a client, or of another node, that has not been answered yet.
@@ -127,7 +127,9 @@
   peer holder;
   std::vector<std::size_t> tasks;  ///< Task indices, in the order of the request.
   std::vector<std::string> asked;  ///< All nodes that were asked for these tasks.
-  bool replied = false;            ///< The holder has sent a reply, final or not.
+  /// How many holders may have sent the request to leafs before this call.
+  std::uint32_t sent_before = 0;
+  bool replied = false;  ///< The holder has sent a reply, final or not.
 };
 
 /// A task that waits for a leaf with capacity.
--- a/include/ibis/wire/messages.hpp
+++ b/include/ibis/wire/messages.hpp
@@ -235,8 +235,8 @@
   std::string availability_zone;    ///< Of the node that has the client.
   /// Time since that node's machine started, when it sent the request.
   base::microseconds sent_at{0};
-  /// The shards may have been queried for this request before, through another node.
-  bool repeated = false;
+  /// How many other nodes may have sent this request to leafs before.
+  std::uint32_t sent_before = 0;
   bool operator==(const shards_request&) const = default;
 };
 
--- a/src/ibis/serving/attempt.cpp
+++ b/src/ibis/serving/attempt.cpp
@@ -134,12 +134,11 @@
 }
 
 void restrict_leafs(const pending_request& pending, task_state& task,
-                    const std::string& zone, context& ctx) {
-  const auto service = ctx.node.services.find(task.service);
-  if (service != ctx.node.services.end()) {
-    task.leaf_subset = choose_leaf_subset(service->second, pending.request->id, zone,
-                                          pending.route->max_leafs, ctx.now);
-  }
+                    const std::string& zone, std::uint32_t sent_before, context& ctx) {
+  const delegated_request request{pending.request->id, zone, pending.route->max_leafs,
+                                  sent_before};
+  task.leaf_subset =
+      choose_leaf_subset(ctx.node.services[task.service], request, ctx.now);
 }
 
 void give_up_task(pending_request& pending, task_state& task) {
--- a/src/ibis/serving/pending_request.cpp
+++ b/src/ibis/serving/pending_request.cpp
@@ -93,7 +93,7 @@
   extra_budget& budget = ctx.node.services[task.service].budget;
   const extra_budget_settings settings =
       service_budget(ctx.node, task.service, ctx.now);
-  if (pending.remote && pending.remote->repeated) {
+  if (pending.remote && pending.remote->sent_before > 0) {
     const bool admitted = budget.try_spend(ctx.now, settings);
     ctx.node.count.budget_refusals += admitted ? 0 : 1;
     return admitted;
@@ -116,7 +116,8 @@
   for (const std::size_t shard : delegate_tasks(pending, ctx)) {
     task_state& task = pending.tasks[shard];
     if (pending.remote) {
-      restrict_leafs(pending, task, pending.remote->availability_zone, ctx);
+      restrict_leafs(pending, task, pending.remote->availability_zone,
+                     pending.remote->sent_before, ctx);
     }
     if (!admit_task(pending, task, ctx) || !dispatch(pending, shard, ctx)) {
       give_up_task(pending, task);
--- a/src/ibis/serving/shard_replies.cpp
+++ b/src/ibis/serving/shard_replies.cpp
@@ -170,7 +170,7 @@
   pending.effective_deadline = pending.deadline;
   pending.objective_deadline = ctx.now + request.reply - event.delay;
   pending.remote = remote_caller{event.node, request.call, request.availability_zone,
-                                 request.repeated};
+                                 request.sent_before};
   ctx.node.remote_callers[{event.node, request.call}] = pending.caller;
   ctx.add_timer(ctx.now + request.progress - event.delay, timer_kind::progress_reply,
                 pending.caller.value);
--- a/src/ibis/serving/shard_requests.cpp
+++ b/src/ibis/serving/shard_requests.cpp
@@ -33,7 +33,7 @@
 
 wire::shards_request make_request(const pending_request& pending,
                                   base::block_call_id call, const shard_call& state,
-                                  bool repeated, context& ctx) {
+                                  context& ctx) {
   const inbound_request& request = *pending.request;
   const base::milliseconds margin = reply_margin(state.holder, ctx);
   wire::shards_request value;
@@ -57,16 +57,17 @@
   value.reply = to_us(pending.objective_deadline - ctx.now - margin);
   value.remaining = to_us(pending.effective_deadline - ctx.now - margin);
   value.availability_zone = ctx.node.settings.availability_zone;
-  value.repeated = repeated;
+  value.sent_before = state.sent_before;
   return value;
 }
 
 /// Asks the best holder that was not asked before.
 /// @param asked Names of the nodes that were asked for these tasks before.
-/// @param repeated A leaf may have got the request through one of them.
+/// @param sent_before How many of them may have sent the request to leafs.
 /// @return False if there is no such holder or this node is it.
 bool ask_holder(pending_request& pending, const task_list& tasks,
-                std::vector<std::string> asked, bool repeated, context& ctx) {
+                std::vector<std::string> asked, std::uint32_t sent_before,
+                context& ctx) {
   const std::string& service = pending.tasks[tasks.front()].service;
   const shard_block* block = find_block(ctx.node, service);
   if (block == nullptr) {
@@ -78,7 +79,8 @@
   }
   const base::block_call_id call{ctx.next_id()};
   asked.push_back(holder->node);
-  shard_call state{pending.caller, *holder, tasks, std::move(asked), false};
+  shard_call state{pending.caller,   *holder,     tasks,
+                   std::move(asked), sent_before, false};
   for (const std::size_t task : tasks) {
     pending.tasks[task].active_calls.push_back(call);
     ++pending.tasks[task].sent;
@@ -86,7 +88,7 @@
   pending.shard_calls.push_back(call);
   ++ctx.node.count.shard_calls;
   ctx.out.emplace_back(
-      request_shards{*holder, make_request(pending, call, state, repeated, ctx)});
+      request_shards{*holder, make_request(pending, call, state, ctx)});
   const base::duration answer_within =
       progress_delay(pending, ctx) + 2 * reply_margin(*holder, ctx) +
       std::chrono::duration_cast<base::duration>(
@@ -98,18 +100,20 @@
 
 /// Asks another holder for the tasks, or else sends them to leafs directly.
 void ask_elsewhere(pending_request& pending, const task_list& tasks,
-                   const std::vector<std::string>& asked, bool repeated, context& ctx) {
+                   const std::vector<std::string>& asked, std::uint32_t sent_before,
+                   context& ctx) {
   if (tasks.empty()) {
     return;
   }
   const bool in_time = ctx.now < pending.effective_deadline;
-  if (in_time && ask_holder(pending, tasks, asked, repeated, ctx)) {
-    ctx.node.count.shard_calls_repeated += repeated ? 1 : 0;
+  if (in_time && ask_holder(pending, tasks, asked, sent_before, ctx)) {
+    ctx.node.count.shard_calls_repeated += sent_before > 0 ? 1 : 0;
     return;
   }
   for (const std::size_t index : tasks) {
     task_state& task = pending.tasks[index];
-    restrict_leafs(pending, task, ctx.node.settings.availability_zone, ctx);
+    restrict_leafs(pending, task, ctx.node.settings.availability_zone, sent_before,
+                   ctx);
     if (!in_time || !dispatch(pending, index, ctx)) {
       give_up_task(pending, task);
     }
@@ -156,7 +160,7 @@
                               {"holder", call.holder.node},
                               {"shards", std::to_string(open.size())},
                               {"sent", sent ? "true" : "false"}});
-  ask_elsewhere(*pending, open, call.asked, sent, ctx);
+  ask_elsewhere(*pending, open, call.asked, call.sent_before + (sent ? 1 : 0), ctx);
   answer_if_ready(*pending, ctx);
 }
 
@@ -171,7 +175,7 @@
   for (const std::size_t task : open) {
     pending->tasks[task].may_have_run = true;
   }
-  ask_elsewhere(*pending, open, call.asked, true, ctx);
+  ask_elsewhere(*pending, open, call.asked, call.sent_before + 1, ctx);
   answer_if_ready(*pending, ctx);
 }
 
@@ -257,7 +261,7 @@
       }
     }
   }
-  ask_elsewhere(pending, unsent, call.asked, false, ctx);
+  ask_elsewhere(pending, unsent, call.asked, call.sent_before, ctx);
   answer_if_ready(pending, ctx);
 }
 
@@ -275,7 +279,7 @@
     }
   }
   for (const auto& [block, tasks] : by_block) {
-    if (!ask_holder(pending, tasks, {}, false, ctx)) {
+    if (!ask_holder(pending, tasks, {}, 0, ctx)) {
       own.insert(own.end(), tasks.begin(), tasks.end());
     }
   }
--- a/src/ibis/wire/codec.cpp
+++ b/src/ibis/wire/codec.cpp
@@ -184,7 +184,7 @@
             out, value.call.value, route, method, target, host, request_id, head, body,
             shards, value.top, value.min_shard_share, value.max_leafs, value.priority,
             value.objective.count(), value.progress.count(), value.reply.count(),
-            value.remaining.count(), zone, value.sent_at.count(), value.repeated)
+            value.remaining.count(), zone, value.sent_at.count(), value.sent_before)
             .Union());
   }
   void operator()(const shards_reply& value) const {
@@ -342,7 +342,7 @@
   value.remaining = base::microseconds(source.remaining_us());
   value.availability_zone = read_string(source.availability_zone());
   value.sent_at = base::microseconds(source.sent_at_us());
-  value.repeated = source.repeated();
+  value.sent_before = source.sent_before();
   return value;
 }
 
--- a/src/ibis/wire/codec_test.cpp
+++ b/src/ibis/wire/codec_test.cpp
@@ -78,7 +78,7 @@
   request.remaining = base::microseconds(800000);
   request.availability_zone = "praha-a";
   request.sent_at = base::microseconds(123456789);
-  request.repeated = true;
+  request.sent_before = 2;
   return request;
 }
 
