--- a/src/ibis/serving/node.cpp
+++ b/src/ibis/serving/node.cpp
@@ -79,6 +79,10 @@
   ctx.node.peers = event.peers;
   std::erase_if(ctx.node.avoided_peers,
                 [&ctx](const auto& entry) { return entry.second <= ctx.now; });
+  const base::duration forget_after = ctx.node.settings.holders.backoff_limit;
+  std::erase_if(ctx.node.holder_health, [&ctx, forget_after](const auto& entry) {
+    return entry.second.avoid_until + forget_after <= ctx.now;
+  });
   if (!event.self && !ctx.node.registered && !ctx.node.stop.requested) {
     ctx.out.emplace_back(register_node{});
   }
