The node that has the client names the leafs that a delegated request may reach

The node that has the client now chooses the leafs once and names them to each holder that it asks, 4 bytes a leaf; the union is bounded whatever the views. If it knows no leaf itself, each holder may use one. Leafs that left need no rank any more.

--- a/include/ibis/serving/attempt.hpp
+++ b/include/ibis/serving/attempt.hpp
@@ -36,11 +36,13 @@
 /// @return False if no leaf may take the task or the budget is exhausted.
 bool dispatch(pending_request& pending, std::size_t shard, context& ctx);
 
-/// Restricts the leafs of a task that another node may have sent or may send too.
-/// @param zone Availability zone of the node that has the client.
-/// @param sent_before How many nodes may have sent it before.
-void restrict_leafs(const pending_request& pending, task_state& task,
-                    const std::string& zone, std::uint32_t sent_before, context& ctx);
+/// Chooses the leafs that may get a task which other nodes may send, unless they are
+/// chosen already.
+void choose_task_leafs(const pending_request& pending, task_state& task, context& ctx);
+
+/// Restricts a task of another node's request to the leafs that this node has chosen.
+/// @param shard Index of the task within the request.
+void apply_allowed_leafs(pending_request& pending, std::size_t shard, context& ctx);
 
 /// Marks a task as done without an answer.
 void give_up_task(pending_request& pending, task_state& task);
--- a/include/ibis/serving/leaf_subset.hpp
+++ b/include/ibis/serving/leaf_subset.hpp
@@ -1,8 +1,12 @@
 /// Limits the leafs that may get a shard's request when several nodes may send it.
+///
+/// The node that has the client chooses the leafs once for a request, and names them to
+/// every holder that it asks. So the request reaches no more leafs than its route
+/// allows, even if the nodes know different leafs at the moment.
 #pragma once
 
 #include <cstddef>  // for size_t
-#include <cstdint>  // for uint64_t
+#include <cstdint>  // for uint32_t, uint64_t
 #include <string>   // for string
 #include <vector>   // for vector
 
@@ -11,39 +15,28 @@
 
 namespace ibis::serving {
 
-struct service_state;
-
-/// How long other nodes may not know yet that a leaf joined or left.
-inline constexpr base::milliseconds leaf_news_delay{2000};
-
-/// A leaf that left a service a short time ago.
-struct departed_leaf {
-  std::string id;
-  std::string availability_zone;
-  base::time_point left_at{};
-};
-
-/// A request that several nodes may send to leafs.
-struct delegated_request {
-  std::string id;             ///< Spreads requests over the leafs.
-  std::string zone;           ///< Availability zone of the node that has the client.
-  std::size_t max_leafs = 1;  ///< How many leafs may get it, from all nodes.
-  std::uint32_t sent_before = 0;  ///< How many nodes may have sent it before.
-};
-
-/// Chooses the leafs that may get a request from this node. Nodes that know the same
-/// leafs choose the same ones, so that a request that a second node repeats reaches no
-/// further leaf. A leaf that has just left keeps its rank, since other nodes may still
-/// know it. While a leaf is new, others may not know it yet: each node then chooses
-/// only one leaf, and none once as many nodes as leafs are allowed may have sent the
-/// request. Leafs in the client's availability zone come first.
-/// @return The keys of the chosen leafs; the key 0, which no leaf has, if none is left.
-std::vector<std::uint64_t> choose_leaf_subset(const service_state& service,
-                                              const delegated_request& request,
-                                              base::time_point now);
-
-/// Adds a leaf to the departed ones, and forgets those that left long ago.
-void note_departed(service_state& service, const leaf_record& leaf,
-                   base::time_point now);
+/// A leaf that joined less than this time ago is chosen last: other nodes may not know
+/// it yet.
+inline constexpr base::milliseconds new_leaf_age{2000};
+
+/// A key that no leaf has.
+inline constexpr std::uint64_t no_leaf_key = 0;
+
+/// @return A short name of a leaf, the same on all nodes.
+std::uint32_t leaf_tag(const std::string& leaf);
+
+/// Chooses the leafs that may get a request: those in the node's own availability zone
+/// first, then by a hash that spreads requests over them.
+/// @param request Id of the request.
+/// @param zone The node's availability zone.
+/// @param count How many leafs to choose at most.
+std::vector<leaf_ptr> choose_allowed_leafs(const std::vector<leaf_ptr>& leafs,
+                                           const std::string& request,
+                                           const std::string& zone, std::size_t count,
+                                           base::time_point now);
+
+/// @return The keys of the leafs whose tags are given; `no_leaf_key` if there are none.
+std::vector<std::uint64_t> find_leaf_keys(const std::vector<leaf_ptr>& leafs,
+                                          const std::vector<std::uint32_t>& tags);
 
 }  // namespace ibis::serving
--- a/include/ibis/serving/state.hpp
+++ b/include/ibis/serving/state.hpp
@@ -22,7 +22,6 @@
 #include "ibis/serving/extra_budget.hpp"   // for extra_budget
 #include "ibis/serving/holders.hpp"        // for holder_table, holder_health
 #include "ibis/serving/leaf_state.hpp"     // for leaf_state, connection_state
-#include "ibis/serving/leaf_subset.hpp"    // for departed_leaf
 #include "ibis/serving/settings.hpp"       // for node_settings
 
 namespace ibis::serving {
@@ -74,6 +73,8 @@
   std::vector<std::uint64_t> tried_leafs;  ///< Keys of the leafs it was sent to.
   /// Keys of the leafs that may get it if another node may send it too. Empty for any.
   std::vector<std::uint64_t> leaf_subset;
+  /// Tags of these leafs. See `leaf_tag`.
+  std::vector<std::uint32_t> leaf_tags;
   /// Connections on which it is in flight.
   std::vector<base::connection_id> active_connections;
   std::vector<base::block_call_id> active_calls;  ///< Holders that are asked for it.
@@ -92,8 +93,8 @@
 struct remote_caller {
   std::string node;
   base::block_call_id call;
-  std::string availability_zone;
   std::uint32_t sent_before = 0;  ///< See `wire::shards_request::sent_before`.
+  std::vector<std::vector<std::uint32_t>> allowed_leafs;  ///< Tags, for each shard.
 };
 
 /// A request of a client, or of another node, that has not been answered yet.
@@ -141,7 +142,6 @@
 /// A service's leafs, queue and budget of extra requests.
 struct service_state {
   std::vector<leaf_ptr> leafs;
-  std::vector<departed_leaf> departed;  ///< Leafs that left a short time ago.
   std::deque<waiting_task> waiting;
   extra_budget budget;
   /// Until when this node counts as a holder, since another node has asked it.
--- a/include/ibis/wire/messages.hpp
+++ b/include/ibis/wire/messages.hpp
@@ -232,9 +232,12 @@
   /// shard at once.
   base::microseconds reply{0};
   base::microseconds remaining{0};  ///< Time left until the request's deadline.
-  std::string availability_zone;    ///< Of the node that has the client.
-  /// Time since that node's machine started, when it sent the request.
+  /// Time since the machine of the node that has the client started, when it sent the
+  /// request.
   base::microseconds sent_at{0};
+  /// For each shard, `leaf_tag`s of the leafs that may get the request. None if the
+  /// node that has the client knows no leaf of the shard: then any one leaf may.
+  std::vector<std::vector<std::uint32_t>> allowed_leafs;
   /// How many other nodes may have sent this request to leafs before.
   std::uint32_t sent_before = 0;
   bool operator==(const shards_request&) const = default;
--- a/src/ibis/serving/attempt.cpp
+++ b/src/ibis/serving/attempt.cpp
@@ -5,7 +5,7 @@
 
 #include "ibis/serving/connection_quota.hpp"    // for service_budget
 #include "ibis/serving/connections.hpp"         // for mark_busy, open_connection_to
-#include "ibis/serving/leaf_subset.hpp"         // for choose_leaf_subset
+#include "ibis/serving/leaf_subset.hpp"         // for choose_allowed_leafs
 #include "ibis/serving/request_completion.hpp"  // for answer_merged
 #include "ibis/serving/shard_replies.hpp"       // for reply_if_ready
 
@@ -133,12 +133,41 @@
   return true;
 }
 
-void restrict_leafs(const pending_request& pending, task_state& task,
-                    const std::string& zone, std::uint32_t sent_before, context& ctx) {
-  const delegated_request request{pending.request->id, zone, pending.route->max_leafs,
-                                  sent_before};
-  task.leaf_subset =
-      choose_leaf_subset(ctx.node.services[task.service], request, ctx.now);
+void choose_task_leafs(const pending_request& pending, task_state& task, context& ctx) {
+  if (!task.leaf_tags.empty()) {
+    return;
+  }
+  if (task.sent > 0 || task.may_have_run) {
+    // A holder may have sent it to a leaf that this node did not know.
+    task.leaf_subset = {no_leaf_key};
+    return;
+  }
+  for (const leaf_ptr& leaf : choose_allowed_leafs(
+           ctx.node.services[task.service].leafs, pending.request->id,
+           ctx.node.settings.availability_zone, pending.route->max_leafs, ctx.now)) {
+    task.leaf_subset.push_back(leaf->key);
+    task.leaf_tags.push_back(leaf_tag(leaf->record.id));
+  }
+}
+
+void apply_allowed_leafs(pending_request& pending, std::size_t shard, context& ctx) {
+  task_state& task = pending.tasks[shard];
+  const std::vector<leaf_ptr>& leafs = ctx.node.services[task.service].leafs;
+  const remote_caller& remote = *pending.remote;
+  if (shard < remote.allowed_leafs.size() && !remote.allowed_leafs[shard].empty()) {
+    task.leaf_subset = find_leaf_keys(leafs, remote.allowed_leafs[shard]);
+    return;
+  }
+  // The node that has the client knows no leaf. Each holder may use one, as long as
+  // together they stay within the limit.
+  const std::size_t count = remote.sent_before < pending.route->max_leafs ? 1 : 0;
+  std::vector<std::uint32_t> tags;
+  for (const leaf_ptr& leaf :
+       choose_allowed_leafs(leafs, pending.request->id,
+                            ctx.node.settings.availability_zone, count, ctx.now)) {
+    tags.push_back(leaf_tag(leaf->record.id));
+  }
+  task.leaf_subset = find_leaf_keys(leafs, tags);
 }
 
 void give_up_task(pending_request& pending, task_state& task) {
--- a/src/ibis/serving/pending_request.cpp
+++ b/src/ibis/serving/pending_request.cpp
@@ -116,8 +116,7 @@
   for (const std::size_t shard : delegate_tasks(pending, ctx)) {
     task_state& task = pending.tasks[shard];
     if (pending.remote) {
-      restrict_leafs(pending, task, pending.remote->availability_zone,
-                     pending.remote->sent_before, ctx);
+      apply_allowed_leafs(pending, shard, ctx);
     }
     if (!admit_task(pending, task, ctx) || !dispatch(pending, shard, ctx)) {
       give_up_task(pending, task);
--- a/src/ibis/serving/registry.cpp
+++ b/src/ibis/serving/registry.cpp
@@ -16,10 +16,8 @@
 
 /// Removes a leaf from its service, so that it gets no new work.
 void detach(const leaf_ptr& leaf, context& ctx) {
-  service_state& service = ctx.node.services[leaf->record.service];
   ctx.node.holders_outdated = true;
-  std::erase(service.leafs, leaf);
-  note_departed(service, leaf->record, ctx.now);
+  std::erase(ctx.node.services[leaf->record.service].leafs, leaf);
   leaf->registration = leaf_registration::removed;
   close_idle(*leaf, ctx);
 }
--- a/src/ibis/serving/shard_replies.cpp
+++ b/src/ibis/serving/shard_replies.cpp
@@ -169,8 +169,8 @@
   pending.deadline = ctx.now + request.remaining - event.delay;
   pending.effective_deadline = pending.deadline;
   pending.objective_deadline = ctx.now + request.reply - event.delay;
-  pending.remote = remote_caller{event.node, request.call, request.availability_zone,
-                                 request.sent_before};
+  pending.remote = remote_caller{event.node, request.call, request.sent_before,
+                                 request.allowed_leafs};
   ctx.node.remote_callers[{event.node, request.call}] = pending.caller;
   ctx.add_timer(ctx.now + request.progress - event.delay, timer_kind::progress_reply,
                 pending.caller.value);
--- a/src/ibis/serving/shard_requests.cpp
+++ b/src/ibis/serving/shard_requests.cpp
@@ -47,6 +47,7 @@
   value.body = request.body;
   for (const std::size_t task : state.tasks) {
     value.shards.push_back(pending.tasks[task].service);
+    value.allowed_leafs.push_back(pending.tasks[task].leaf_tags);
   }
   value.top = static_cast<std::uint32_t>(pending.route->top);
   value.min_shard_share = pending.route->min_shard_share;
@@ -56,7 +57,6 @@
   value.progress = progress_delay(pending, ctx);
   value.reply = to_us(pending.objective_deadline - ctx.now - margin);
   value.remaining = to_us(pending.effective_deadline - ctx.now - margin);
-  value.availability_zone = ctx.node.settings.availability_zone;
   value.sent_before = state.sent_before;
   return value;
 }
@@ -81,9 +81,11 @@
   asked.push_back(holder->node);
   shard_call state{pending.caller,   *holder,     tasks,
                    std::move(asked), sent_before, false};
-  for (const std::size_t task : tasks) {
-    pending.tasks[task].active_calls.push_back(call);
-    ++pending.tasks[task].sent;
+  for (const std::size_t index : tasks) {
+    task_state& task = pending.tasks[index];
+    choose_task_leafs(pending, task, ctx);
+    task.active_calls.push_back(call);
+    ++task.sent;
   }
   pending.shard_calls.push_back(call);
   ++ctx.node.count.shard_calls;
@@ -112,8 +114,7 @@
   }
   for (const std::size_t index : tasks) {
     task_state& task = pending.tasks[index];
-    restrict_leafs(pending, task, ctx.node.settings.availability_zone, sent_before,
-                   ctx);
+    choose_task_leafs(pending, task, ctx);
     if (!in_time || !dispatch(pending, index, ctx)) {
       give_up_task(pending, task);
     }
--- a/src/ibis/wire/codec.cpp
+++ b/src/ibis/wire/codec.cpp
@@ -63,6 +63,10 @@
   return fb::Createfailed_shard(out, value.index, value.sent);
 }
 
+auto write_tags(builder& out, const std::vector<std::uint32_t>& value) {
+  return fb::Createleaf_tagsDirect(out, &value);
+}
+
 member read_member(const fb::member& source) {
   return {read_string(source.node()),    read_string(source.vm()),
           read_string(source.zone()),    read_string(source.role()),
@@ -177,14 +181,14 @@
     const auto head = out.CreateString(value.head);
     const auto body = out.CreateString(value.body);
     const auto shards = out.CreateVectorOfStrings(value.shards);
-    const auto zone = out.CreateString(value.availability_zone);
+    const auto allowed = write_list(out, value.allowed_leafs, write_tags);
     finish(
         fb::body::shards_request,
         fb::Createshards_request(
             out, value.call.value, route, method, target, host, request_id, head, body,
             shards, value.top, value.min_shard_share, value.max_leafs, value.priority,
             value.objective.count(), value.progress.count(), value.reply.count(),
-            value.remaining.count(), zone, value.sent_at.count(), value.sent_before)
+            value.remaining.count(), value.sent_at.count(), value.sent_before, allowed)
             .Union());
   }
   void operator()(const shards_reply& value) const {
@@ -340,9 +344,11 @@
   value.progress = base::microseconds(source.progress_us());
   value.reply = base::microseconds(source.reply_us());
   value.remaining = base::microseconds(source.remaining_us());
-  value.availability_zone = read_string(source.availability_zone());
   value.sent_at = base::microseconds(source.sent_at_us());
   value.sent_before = source.sent_before();
+  value.allowed_leafs = read_list<std::vector<std::uint32_t>>(
+      source.allowed_leafs(),
+      [](const auto& item) { return read_numbers(item.tags()); });
   return value;
 }
 
