Nodes log each listing and series of changes that they apply

Incident of requests to leaving leafs: the hypotheses could not be told apart, since no line said up to which revision a node had followed a topic.

--- a/src/ibis/serving/store_follower.cpp
+++ b/src/ibis/serving/store_follower.cpp
@@ -108,6 +108,19 @@
   watch_store(topic, ctx);
 }
 
+/// Logs that changes or a listing of a topic were applied, and how old the data was.
+void log_update(const char* name, store_topic topic, std::size_t entries,
+                context& ctx) {
+  const topic_state& state = state_of(topic, ctx);
+  const auto age =
+      std::chrono::duration_cast<base::milliseconds>(ctx.now - state.last_current_at);
+  ctx.log(name, {{"topic", name_of(topic)},
+                 {"source", state.source.empty() ? "store" : state.source},
+                 {"revision", std::to_string(state.revision)},
+                 {"entries", std::to_string(entries)},
+                 {"view_age_ms", std::to_string(age.count())}});
+}
+
 /// Continues to follow a topic after a pause or with another source.
 void resume_following(store_topic topic, context& ctx) {
   topic_state& state = state_of(topic, ctx);
@@ -279,6 +292,7 @@
   } else {
     state.listed = true;
   }
+  log_update("store_listing_applied", event.topic, listed.size(), ctx);
   if (event.topic == store_topic::leafs) {
     apply_listing(listed, ctx);
   }
@@ -297,6 +311,7 @@
     start_watch(event.topic, ctx);
     return;
   }
+  log_update("store_changes_applied", event.topic, event.leafs.size(), ctx);
   record_change(event, ctx);
   apply_changes(event.leafs, ctx);
   reply_to_waiting_peers(ctx);
@@ -324,6 +339,9 @@
     case peer_reply_status::changes:
       state.last_current_at = ctx.now;
       state.revision = std::max(state.revision, event.update.revision);
+      if (event.update.configuration || !event.update.leafs.empty()) {
+        log_update("store_changes_applied", topic, event.update.leafs.size(), ctx);
+      }
       apply_catalog(event.update.configuration, ctx);
       apply_changes(event.update.leafs, ctx);
       resume_following(topic, ctx);
