--- a/standins/follower_fleet.cpp
+++ b/standins/follower_fleet.cpp
@@ -94,6 +94,13 @@
   }
 }
 
+void follower_fleet::drop_history_silently() {
+  oldest_revision_ = ++revision_;
+  for (pending_watch& watch : watches_) {
+    watch.silenced = true;
+  }
+}
+
 void follower_fleet::run_for(base::duration time) {
   const base::time_point end = now_ + time;
   // Answers the watches of nodes that could not reach the store before.
@@ -236,7 +243,9 @@
                               effect.topic, serving::store_failure::busy, "busy"});
       return;
     }
-    watches_.push_back({node, effect.topic, serial, effect.revision});
+    watches_.push_back(
+        {node, effect.topic, serial, effect.revision, now_ + effect.wait});
+    after(effect.wait, [this] { complete_watches(); });
     complete_watches();
   });
 }
@@ -245,7 +254,8 @@
   if (call_serials_[watch.node][watch.topic] != watch.serial) {
     return true;
   }
-  if (nodes.at(watch.node).partitioned_from_store) {
+  const bool wait_over = now_ >= watch.until;
+  if (nodes.at(watch.node).partitioned_from_store || (watch.silenced && !wait_over)) {
     return false;
   }
   if (watch.revision < oldest_revision_) {
@@ -257,7 +267,7 @@
     return true;
   }
   const serving::topic_changed changes = changes_since(watch.topic, watch.revision);
-  if (changes.leafs.empty() && !changes.configuration) {
+  if (changes.leafs.empty() && !changes.configuration && !wait_over) {
     return false;
   }
   after(store_delay, [this, watch, changes] { deliver_event(watch.node, changes); });
--- a/standins/follower_fleet.hpp
+++ b/standins/follower_fleet.hpp
@@ -42,6 +42,9 @@
   /// Drops the store's history of changes: open watches are disconnected, and watches
   /// from an older revision fail.
   void drop_history();
+  /// Drops the store's history of changes without disconnecting the open watches: they
+  /// get no changes any more, and fail only when their wait is over.
+  void drop_history_silently();
   /// Advances the virtual time and runs everything that becomes due.
   void run_for(base::duration time);
 
@@ -64,6 +67,8 @@
     serving::store_topic topic;
     std::uint64_t serial;
     std::uint64_t revision;
+    base::time_point until;
+    bool silenced = false;  ///< It gets no changes before its wait is over.
   };
 
   void after(base::duration delay, std::function<void()> action);
--- a/tests/serving_peers_test.cpp
+++ b/tests/serving_peers_test.cpp
@@ -141,6 +141,20 @@
   CHECK(fleet.count_nodes_at_version(3) == node_count);
 }
 
+// Guards against requests to leafs that have left: an open watch is no proof that the
+// store has no changes, since the store may have dropped its history behind it.
+TEST_CASE(
+    "All nodes learn in time that a leaf left although their watches are silent") {
+  follower_fleet fleet;
+  populate(fleet);
+  fleet.drop_history_silently();
+  fleet.remove_leaf("leaf-1");
+  fleet.configure(3);
+  fleet.run_for(propagation_limit);
+  CHECK(fleet.count_nodes_knowing_leaf("leaf-1") == 0);
+  CHECK(fleet.count_nodes_at_version(3) == node_count);
+}
+
 TEST_CASE("Every node gets every change in time under random faults") {
   for (std::uint64_t seed = 1; seed <= 30; ++seed) {
     follower_fleet fleet;
