Watches are checked against the store's revision, and data is passed on with its age

Cause: an open watch was taken for proof that nothing had changed. A store that drops its history behind a watch neither answers nor ends it before its wait of 30 s is over. The node went on with the old leafs, and told its peers that there were no changes; a peer that asked with a newer revision than the node's own was told so as well. The probe did not help: it asked whether the store answers, not whether the watch was complete. Class: a promise with a bound in time over data whose age nobody knew.

Why this works: each probe now returns the store's revision. A watch that is behind is replaced by one that the store answers at once, so that a change is found one probe period later whatever became of the watch. Data carries since when it is known to match the store; a node passes it on only while that is recent, with its age, and a follower turns to the store when its source is silent. The probe period follows from the bounds of the platform, and the longest path is arithmetic that the settings are checked against. A store that serves a node again ends its back-off at once.

Calls that prove the age of data replace guesses about it.

--- a/include/ibis/reactor/protocol.hpp
+++ b/include/ibis/reactor/protocol.hpp
@@ -2,6 +2,7 @@
 /// paths, header fields and JSON formats.
 #pragma once
 
+#include <cstdint>     // for uint64_t
 #include <functional>  // for function
 #include <optional>    // for optional
 #include <string>      // for string
@@ -49,8 +50,11 @@
   std::function<http::request()> make_count_request;
   /// Makes a store request that deletes this node's own record.
   std::function<http::request()> make_unregister_request;
-  /// Makes a cheap store request, to check whether the store responds.
+  /// Makes a cheap store request that returns the store's current revision.
   std::function<http::request()> make_probe_request;
+  /// Decodes the response to it; nothing if the store refused the request.
+  std::function<std::optional<std::uint64_t>(const http::response&)>
+      decode_probe_response;
   /// Decodes the response to a count request; nothing if it is not a listing.
   std::function<std::optional<serving::nodes_counted>(const http::response&)>
       decode_node_count;
--- a/include/ibis/serving/effect.hpp
+++ b/include/ibis/serving/effect.hpp
@@ -109,6 +109,8 @@
   std::uint64_t revision = 0;
   /// The store's answers that contain the changes, unparsed.
   std::vector<std::shared_ptr<const std::string>> texts;
+  /// How long ago this node's data was last known to match the store's.
+  base::milliseconds age{0};
 };
 
 /// Closes the connection to a peer that has stopped responding.
@@ -150,9 +152,10 @@
 /// Counts the nodes that have a record in the store; the result may be seconds old.
 struct count_nodes {};
 
-/// Makes a small call to the store to check whether it answers at all.
+/// Makes a small call to the store, which shows whether it answers and its revision.
 struct probe_store {
   base::milliseconds limit{0};  ///< Timeout of the call.
+  base::time_point sent_at{};   ///< Returned in `store_probed`.
 };
 
 /// Removes this node's record from the store.
--- a/include/ibis/serving/event.hpp
+++ b/include/ibis/serving/event.hpp
@@ -151,6 +151,8 @@
   std::uint64_t serial = 0;
   peer_reply_status kind = peer_reply_status::changes;
   topic_changed update;
+  /// How long ago the peer's data was last known to match the store's.
+  base::milliseconds age{0};
 };
 
 /// Another node asks this one, as a holder, to query some shards.
@@ -192,7 +194,9 @@
 /// A probe of the store ended.
 struct store_probed {
   bool answered = false;  ///< The store answered in time.
-  bool served = false;    ///< It also served the probe, rather than refusing it.
+  base::time_point sent_at{};
+  /// The store's revision; nothing if it refused the probe.
+  std::optional<std::uint64_t> revision;
 };
 
 /// The process was asked to stop gracefully.
--- a/include/ibis/serving/peer_replies.hpp
+++ b/include/ibis/serving/peer_replies.hpp
@@ -16,6 +16,10 @@
 /// `peer_settings::wait` has passed.
 void on_peer_query(const peer_query_received& query, context& ctx);
 
+/// Replies to the held queries as `reply_to_waiting_peers` does, and schedules when to
+/// look at the others again.
+void on_peer_wait_due(context& ctx);
+
 /// Replies to the held queries that can be answered by now or whose wait has ended.
 void reply_to_waiting_peers(context& ctx);
 
--- a/include/ibis/serving/settings.hpp
+++ b/include/ibis/serving/settings.hpp
@@ -68,6 +68,8 @@
   base::milliseconds wait{30000};  ///< How long the store may hold a watch.
   base::milliseconds grace{1500};  ///< Added to `wait` for the timeout of a watch.
   base::milliseconds list_timeout{1500};
+  /// How long a healthy store takes at most to answer a call.
+  base::milliseconds call_time{200};
   /// How long the watch after a possibly stale listing is given to bring newer changes.
   base::milliseconds stale_catch_up_time{150};
   /// Pauses between a change and the next watch, so that a series of changes arrives in
@@ -83,8 +85,8 @@
   /// available. They may have expired in an outage that this node did not notice, or be
   /// shutting down and soon stop serving.
   base::milliseconds bulk_removal_hold{500};
-  /// Interval between probes. They detect a store that stopped responding for a while
-  /// and dropped a watch without notice; that watch would never report a change.
+  /// Interval between probes. They detect watches that were dropped without notice or
+  /// that do not report changes. See `fit_propagation`.
   base::milliseconds probe_period{1000};
   base::milliseconds probe_limit{700};     ///< Timeout of a probe.
   base::milliseconds count_period{10000};  ///< Between counts of the nodes.
--- a/include/ibis/serving/state.hpp
+++ b/include/ibis/serving/state.hpp
@@ -167,7 +167,8 @@
 /// A peer whose query is held until there are changes.
 struct waiting_peer {
   peer_query_received query;
-  base::time_point until{};  ///< When to reply at the latest.
+  base::time_point until{};      ///< When to reply at the latest.
+  base::time_point timer_due{};  ///< When its timer fires.
 };
 
 /// How far a node has followed a topic of the store.
@@ -177,11 +178,14 @@
   base::time_point called_at{};   ///< When the current call began.
   std::uint64_t revision = 0;     ///< Latest revision applied.
   bool listed = false;  ///< A complete listing that is known to be current was applied.
-  bool stale_listing_tried = false;    ///< The one listing that may be stale is over.
-  std::uint32_t failures = 0;          ///< Consecutive failed calls.
-  base::time_point last_current_at{};  ///< When the data was last known to be current.
-  std::vector<leaf_change> pages;      ///< Entries of an incomplete listing.
-  std::string source;  ///< Name of the peer queried; empty for the store.
+  bool stale_listing_tried = false;  ///< The one listing that may be stale is over.
+  std::uint32_t failures = 0;        ///< Consecutive failed calls.
+  /// As of when the data is known to match the store's.
+  base::time_point verified_at{};
+  bool paused = false;    ///< It is between two calls, until a timer fires.
+  bool checking = false;  ///< The current call checks whether a watch missed changes.
+  std::vector<leaf_change> pages;  ///< Entries of an incomplete listing.
+  std::string source;              ///< Name of the peer queried; empty for the store.
   topic_history history;
 };
 
@@ -209,6 +213,7 @@
   std::uint64_t leaf_failures = 0;
   std::uint64_t store_calls = 0;
   std::uint64_t store_failures = 0;
+  std::uint64_t watch_checks = 0;  ///< Watches that were behind the store's revision.
   std::uint64_t peer_questions = 0;
   std::uint64_t peer_failures = 0;
   std::uint64_t catalogs = 0;
--- a/include/ibis/serving/store_follower.hpp
+++ b/include/ibis/serving/store_follower.hpp
@@ -25,14 +25,17 @@
 /// none to offer.
 void on_peer_reply(const peer_replied& event, context& ctx);
 
-/// Handles the end of a store probe. A store that does not answer a probe may have
-/// dropped watches without notice, so that the watches under way are cancelled.
-void on_store_probed(const store_probed& event, context& ctx);
-
 /// Handles a due timer of a topic: a call timed out, a retry is due, or a stale listing
 /// has caught up.
 void on_store_timer(const timer& due, context& ctx);
 
+/// Counts a failed call of a topic, and considers the store unavailable from now on.
+void record_failure(store_topic topic, store_failure failure, const std::string& detail,
+                    context& ctx);
+
+/// Considers the store available again.
+void mark_store_recovered(store_topic topic, context& ctx);
+
 /// Whether this node needs the store to answer. False only while peers supply the
 /// updates of all topics and the store is not considered unavailable.
 bool depends_on_store(const node_state& node);
--- a/include/ibis/wire/messages.hpp
+++ b/include/ibis/wire/messages.hpp
@@ -205,6 +205,8 @@
   std::uint8_t kind = 0;           ///< Kind of reply, defined by the sending module.
   std::uint64_t revision = 0;      ///< Revision that the changes extend to.
   std::vector<std::string> texts;  ///< The store's responses, unchanged.
+  /// How long ago the sender's data was last known to match the store's.
+  base::milliseconds age{0};
   bool operator==(const topic_news&) const = default;
 };
 
--- a/src/ibis/reactor/node_metrics.cpp
+++ b/src/ibis/reactor/node_metrics.cpp
@@ -41,7 +41,7 @@
   out << "# TYPE ibis_store_view_age_ms gauge\n";
   for (std::size_t topic = 0; topic < names.size(); ++topic) {
     out << "ibis_store_view_age_ms{topic=\"" << names[topic] << "\"} "
-        << base::to_ms(now - node.topics[topic].last_current_at) << '\n';
+        << base::to_ms(now - node.topics[topic].verified_at) << '\n';
   }
 }
 
@@ -80,6 +80,7 @@
   write_counter(out, "leaf_connections_lost", count.connections_lost);
   write_counter(out, "store_calls", count.store_calls);
   write_counter(out, "store_failures", count.store_failures);
+  write_counter(out, "store_watch_checks", count.watch_checks);
   write_counter(out, "peer_questions", count.peer_questions);
   write_counter(out, "peer_failures", count.peer_failures);
   write_counter(out, "configurations_applied", count.catalogs);
--- a/src/ibis/reactor/peer_link.cpp
+++ b/src/ibis/reactor/peer_link.cpp
@@ -13,7 +13,7 @@
 serving::peer_replied make_unreachable_event(const std::string& node,
                                              std::uint64_t serial, std::uint8_t topic) {
   serving::peer_replied event{
-      node, serial, serving::peer_reply_status::unreachable, {}};
+      node, serial, serving::peer_reply_status::unreachable, {}, {}};
   event.update.topic = static_cast<serving::store_topic>(topic);
   return event;
 }
@@ -106,8 +106,11 @@
 }
 
 void peer_link::on_reply(const std::string& node, const wire::topic_news& update) {
-  serving::peer_replied event{
-      node, update.serial, static_cast<serving::peer_reply_status>(update.kind), {}};
+  serving::peer_replied event{node,
+                              update.serial,
+                              static_cast<serving::peer_reply_status>(update.kind),
+                              {},
+                              update.age};
   event.update.topic = static_cast<serving::store_topic>(update.topic);
   event.update.revision = update.revision;
   for (const std::string& text : update.texts) {
@@ -139,7 +142,8 @@
                           static_cast<std::uint8_t>(effect.topic),
                           static_cast<std::uint8_t>(effect.kind),
                           effect.revision,
-                          {}};
+                          {},
+                          effect.age};
   for (const auto& text : effect.texts) {
     update.texts.push_back(*text);
   }
--- a/src/ibis/reactor/process_settings.cpp
+++ b/src/ibis/reactor/process_settings.cpp
@@ -1,5 +1,9 @@
 #include "ibis/reactor/process_settings.hpp"
 
+#include <algorithm>  // for min
+
+#include "ibis/serving/view_age.hpp"  // for fit_propagation
+
 namespace ibis::reactor {
 namespace {
 
@@ -53,6 +57,19 @@
   value.peers.watchers = watchers;
 }
 
+/// Reads how soon changes in the store must be applied.
+void read_propagation(config::reader& root, serving::node_settings& value) {
+  constexpr milliseconds default_limit{3000};
+  const milliseconds shortest = serving::shortest_propagation_limit(value);
+  milliseconds configuration = default_limit;
+  milliseconds leafs = default_limit;
+  config::reader propagation = root.child("propagation");
+  propagation.read("configuration_ms", configuration, shortest, max_margin);
+  propagation.read("leafs_ms", leafs, shortest, max_margin);
+  propagation.report_unknown_keys();
+  serving::fit_propagation(value, std::min(configuration, leafs));
+}
+
 void read_holders(config::reader& root, serving::node_settings& value) {
   constexpr std::uint32_t max_connections = 10000;
   constexpr std::uint32_t max_block_shards = 1000;
@@ -103,6 +120,7 @@
   read_stop(root, value.serving);
   read_hedging(root, value.serving);
   read_peers(root, value.serving);
+  read_propagation(root, value.serving);
   read_holders(root, value.serving);
   root.read("travel_margin_ms", value.serving.travel_margin, milliseconds(0),
             max_margin);
--- a/src/ibis/reactor/process_settings_test.cpp
+++ b/src/ibis/reactor/process_settings_test.cpp
@@ -29,6 +29,9 @@
   block_shards: 20
   per_zone: 3
 first_start: true
+propagation:
+  configuration_ms: 5000
+  leafs_ms: 3000
 hedging:
   quantile: 0.93
 log:
@@ -78,6 +81,7 @@
   CHECK(parsed.value.serving.holders.block_shards == 20);
   CHECK(parsed.value.serving.holders.per_zone == 3);
   CHECK(parsed.value.serving.first_start);
+  CHECK(parsed.value.serving.store.probe_period == base::milliseconds(1000));
   CHECK_FALSE(parsed.value.log.log_requests);
 }
 
@@ -89,6 +93,9 @@
   std::string no_holders = valid_settings;
   no_holders.replace(no_holders.find("per_zone: 3"), 11, "per_zone: 0");
   CHECK(count_errors(no_holders) == 1);
+  std::string short_limit = valid_settings;
+  short_limit.replace(short_limit.find("leafs_ms: 3000"), 14, "leafs_ms: 2000");
+  CHECK(count_errors(short_limit) == 1);
   CHECK(count_errors("[1, 2]") >= 1);
   CHECK(count_errors("") >= 1);
 }
--- a/src/ibis/reactor/store_client.cpp
+++ b/src/ibis/reactor/store_client.cpp
@@ -5,17 +5,6 @@
 #include "ibis/reactor/node_log.hpp"  // for write_log
 
 namespace ibis::reactor {
-namespace {
-
-constexpr unsigned status_too_many_requests = 429;
-
-/// Whether the store serves calls of this node rather than rejecting them.
-bool accepts_calls(const http::response& response) {
-  return response.status / 100 != 5 && response.status != status_too_many_requests;
-}
-
-}  // namespace
-
 store_client::store_client(asio::io_context& io, const asio::ip::tcp::endpoint& peer,
                            const protocol& platform_protocol, event_callback on_event)
     : protocol_(platform_protocol),
@@ -90,15 +79,17 @@
 }
 
 void store_client::probe(const serving::probe_store& effect) {
-  const bool added =
-      probe_queue_->add(protocol_.make_probe_request(), effect.limit,
-                        [this](const base::result<http::response>& response) {
-                          const bool answered = response.has_value();
-                          on_event_(serving::store_probed{
-                              answered, answered && accepts_calls(response.value())});
-                        });
+  const bool added = probe_queue_->add(
+      protocol_.make_probe_request(), effect.limit,
+      [this, sent_at = effect.sent_at](const base::result<http::response>& response) {
+        serving::store_probed probed{response.has_value(), sent_at, {}};
+        if (response) {
+          probed.revision = protocol_.decode_probe_response(response.value());
+        }
+        on_event_(probed);
+      });
   if (!added) {
-    on_event_(serving::store_probed{});
+    on_event_(serving::store_probed{false, effect.sent_at, {}});
   }
 }
 
--- a/src/ibis/serving/node.cpp
+++ b/src/ibis/serving/node.cpp
@@ -11,6 +11,7 @@
 #include "ibis/serving/shard_replies.hpp"    // for on_shards_requested
 #include "ibis/serving/shard_requests.hpp"   // for on_shards_replied
 #include "ibis/serving/store_follower.hpp"   // for start_following
+#include "ibis/serving/store_probe.hpp"      // for on_probe_due, on_store_probed
 
 namespace ibis::serving {
 namespace {
@@ -90,14 +91,6 @@
   update_holders(ctx);
 }
 
-void on_probe_store(context& ctx) {
-  const store_settings& settings = ctx.node.settings.store;
-  if (depends_on_store(ctx.node)) {
-    ctx.out.emplace_back(probe_store{settings.probe_limit});
-  }
-  ctx.add_timer(ctx.now + settings.probe_period, timer_kind::probe_store);
-}
-
 void on_peer_lost(const std::string& name, context& ctx) {
   avoid_holder(name, ctx.node.settings.holders.backoff, ctx);
   retry_calls_of(name, ctx);
@@ -126,10 +119,10 @@
       on_count_nodes(ctx);
       break;
     case timer_kind::probe_store:
-      on_probe_store(ctx);
+      on_probe_due(ctx);
       break;
     case timer_kind::peer_wait:
-      reply_to_waiting_peers(ctx);
+      on_peer_wait_due(ctx);
       break;
     case timer_kind::stale_listing_caught_up:
     case timer_kind::store_call:
--- a/src/ibis/serving/peer_replies.cpp
+++ b/src/ibis/serving/peer_replies.cpp
@@ -1,24 +1,28 @@
 #include "ibis/serving/peer_replies.hpp"
 
-#include <algorithm>  // for max
+#include <algorithm>  // for max, min
 #include <utility>    // for move
 
+#include "ibis/serving/topic_calls.hpp"  // for state_of
+#include "ibis/serving/view_age.hpp"     // for max_source_age, view_age
+
 namespace ibis::serving {
 namespace {
 
-topic_state& state_of(store_topic topic, context& ctx) {
-  return ctx.node.topics[static_cast<std::size_t>(topic)];
+/// @return Until when this node's data counts as current without another check.
+base::time_point current_until(const topic_state& state, const node_state& node) {
+  return state.verified_at + max_source_age(node.settings.store);
 }
 
 /// Whether this node cannot supply updates: it gets them from a peer itself, has no
-/// complete listing, cannot reach the store, or is stopping.
-bool cannot_serve_peers(const topic_state& state, const node_state& node) {
-  return !state.source.empty() || !state.listed || node.store_unavailable ||
-         node.stop.requested;
+/// complete listing, cannot reach the store, has outdated data, or is stopping.
+bool cannot_serve_peers(const topic_state& state, const context& ctx) {
+  return !state.source.empty() || !state.listed || ctx.node.store_unavailable ||
+         ctx.node.stop.requested || ctx.now > current_until(state, ctx.node);
 }
 
-/// Whether this node's data is known to match the store's. That is uncertain between a
-/// watch that was cut and the end of the listing that follows it.
+/// Whether a watch is open or follows shortly. After a watch that was cut, it is
+/// uncertain until the end of a listing whether the data matches the store's.
 bool is_current(const topic_state& state) {
   return state.phase == topic_phase::watching && state.failures == 0;
 }
@@ -40,7 +44,8 @@
                        query.serial,
                        kind,
                        std::max(query.revision, state.revision),
-                       {}};
+                       {},
+                       view_age(state, ctx.now)};
   if (kind == peer_reply_status::changes) {
     for (const topic_changed& change : state.history.changes) {
       if (change.revision > query.revision) {
@@ -62,7 +67,7 @@
   const peer_query_received& query = waiting.query;
   const topic_state& state = state_of(query.topic, ctx);
   const bool wait_over = ctx.now >= waiting.until;
-  if (cannot_serve_peers(state, ctx.node) || (wait_over && !is_current(state))) {
+  if (cannot_serve_peers(state, ctx) || (wait_over && !is_current(state))) {
     reply(query, peer_reply_status::not_following, ctx);
     return true;
   }
@@ -80,6 +85,15 @@
   return false;
 }
 
+/// Starts the timer by which a held query must be looked at again.
+void add_reply_timer(waiting_peer& waiting, context& ctx) {
+  constexpr base::milliseconds clock_step{1};
+  const topic_state& state = state_of(waiting.query.topic, ctx);
+  const base::time_point outdated_at = current_until(state, ctx.node) + clock_step;
+  waiting.timer_due = std::min(waiting.until, outdated_at);
+  ctx.add_timer(waiting.timer_due, timer_kind::peer_wait);
+}
+
 }  // namespace
 
 void record_change(const topic_changed& change, context& ctx) {
@@ -105,12 +119,21 @@
 
 void on_peer_query(const peer_query_received& query, context& ctx) {
   const base::time_point until = ctx.now + ctx.node.settings.peers.wait;
-  const waiting_peer waiting{query, until};
+  waiting_peer waiting{query, until, {}};
   if (try_reply(waiting, ctx)) {
     return;
   }
+  add_reply_timer(waiting, ctx);
   ctx.node.waiting_peers.push_back(waiting);
-  ctx.add_timer(until, timer_kind::peer_wait);
+}
+
+void on_peer_wait_due(context& ctx) {
+  reply_to_waiting_peers(ctx);
+  for (waiting_peer& waiting : ctx.node.waiting_peers) {
+    if (waiting.timer_due <= ctx.now) {
+      add_reply_timer(waiting, ctx);
+    }
+  }
 }
 
 void reply_to_waiting_peers(context& ctx) {
--- a/src/ibis/serving/store_follower.cpp
+++ b/src/ibis/serving/store_follower.cpp
@@ -4,20 +4,17 @@
 #include <string>     // for string
 #include <utility>    // for move
 
-#include "ibis/serving/holders.hpp"        // for update_holders
-#include "ibis/serving/peer_replies.hpp"   // for record_change, reply_to_waiting_peers
-#include "ibis/serving/registry.hpp"       // for apply_changes, apply_listing
-#include "ibis/serving/update_source.hpp"  // for choose_update_source, avoid_peer
+#include "ibis/serving/holders.hpp"       // for update_holders
+#include "ibis/serving/peer_replies.hpp"  // for record_change, reply_to_waiting_peers
+#include "ibis/serving/registry.hpp"      // for apply_changes, apply_listing
+#include "ibis/serving/topic_calls.hpp"   // for start_listing, start_watch
+#include "ibis/serving/view_age.hpp"      // for mark_verified, view_age
 
 namespace ibis::serving {
 namespace {
 
 constexpr std::uint32_t max_doublings = 4;
 
-const char* name_of(store_topic topic) {
-  return topic == store_topic::configuration ? "configuration" : "leafs";
-}
-
 const char* name_of(store_failure failure) {
   switch (failure) {
     case store_failure::unreachable:
@@ -32,166 +29,26 @@
   return "";
 }
 
-topic_state& state_of(store_topic topic, context& ctx) {
-  return ctx.node.topics[static_cast<std::size_t>(topic)];
-}
-
-/// Sets the source of a topic's updates.
-/// @param source Name of a peer; empty for the store.
-void set_source(store_topic topic, const std::string& source, context& ctx) {
-  topic_state& state = state_of(topic, ctx);
-  if (state.source == source) {
-    return;
-  }
-  if (source.empty()) {
-    // Changes received from peers are not in this node's history.
-    restart_history(topic, state.revision, ctx);
-  }
-  state.source = source;
-  ctx.log("update_source_changed", {{"topic", name_of(topic)},
-                                    {"source", source.empty() ? "store" : source},
-                                    {"revision", std::to_string(state.revision)}});
-  reply_to_waiting_peers(ctx);
-}
-
-/// Starts the timeout of a call that begins now.
-void start_call_timeout(store_topic topic, base::milliseconds limit, context& ctx) {
-  topic_state& state = state_of(topic, ctx);
-  ++state.call_serial;
-  state.called_at = ctx.now;
-  ctx.add_timer(ctx.now + limit, timer_kind::store_call,
-                static_cast<std::uint64_t>(topic), state.call_serial);
-}
-
-/// Whether a listing may be a stale copy. The first listing of leafs may be one, since
-/// it has many pages and the watch from its revision brings what is newer.
-bool may_list_stale_leafs(store_topic topic, const topic_state& state) {
-  return topic == store_topic::leafs && !state.stale_listing_tried;
-}
-
-void start_listing(store_topic topic, const std::string& after, context& ctx) {
-  topic_state& state = state_of(topic, ctx);
-  state.phase = topic_phase::listing;
-  set_source(topic, "", ctx);
-  ++ctx.node.count.store_calls;
-  start_call_timeout(topic, ctx.node.settings.store.list_timeout, ctx);
-  ctx.out.emplace_back(list_topic{topic, after, may_list_stale_leafs(topic, state)});
-}
-
-void watch_store(store_topic topic, context& ctx) {
-  topic_state& state = state_of(topic, ctx);
-  const store_settings& settings = ctx.node.settings.store;
-  set_source(topic, "", ctx);
-  ++ctx.node.count.store_calls;
-  start_call_timeout(topic, settings.wait + settings.grace, ctx);
-  ctx.out.emplace_back(watch_topic{topic, state.revision, settings.wait});
-  // A store that is unresponsive right now drops the watch without notice. It does not
-  // answer this probe either, which reveals the loss.
-  ctx.out.emplace_back(probe_store{settings.probe_limit});
-}
-
-void watch_peer(store_topic topic, const peer& source, context& ctx) {
-  topic_state& state = state_of(topic, ctx);
-  const peer_settings& settings = ctx.node.settings.peers;
-  set_source(topic, source.node, ctx);
-  ++ctx.node.count.peer_questions;
-  start_call_timeout(topic, settings.wait + settings.grace, ctx);
-  ctx.out.emplace_back(query_peer{source, topic, state.call_serial, state.revision});
-}
-
-void start_watch(store_topic topic, context& ctx) {
-  state_of(topic, ctx).phase = topic_phase::watching;
-  if (const auto source = choose_update_source(ctx.node, ctx.now)) {
-    watch_peer(topic, *source, ctx);
-    return;
-  }
-  watch_store(topic, ctx);
-}
-
 /// Logs that changes or a listing of a topic were applied, and how old the data was.
 void log_update(const char* name, store_topic topic, std::size_t entries,
                 context& ctx) {
   const topic_state& state = state_of(topic, ctx);
-  const auto age =
-      std::chrono::duration_cast<base::milliseconds>(ctx.now - state.last_current_at);
   ctx.log(name, {{"topic", name_of(topic)},
                  {"source", state.source.empty() ? "store" : state.source},
                  {"revision", std::to_string(state.revision)},
                  {"entries", std::to_string(entries)},
-                 {"view_age_ms", std::to_string(age.count())}});
-}
-
-/// Continues to follow a topic after a pause or with another source.
-void resume_following(store_topic topic, context& ctx) {
-  topic_state& state = state_of(topic, ctx);
-  const auto source = choose_update_source(ctx.node, ctx.now);
-  const bool use_peer = ctx.node.store_unavailable && state.listed && source;
-  if (use_peer) {
-    state.phase = topic_phase::watching;
-    watch_peer(topic, *source, ctx);
-    return;
-  }
-  if (state.phase == topic_phase::watching && !ctx.node.store_unavailable) {
-    start_watch(topic, ctx);
-    return;
-  }
-  start_listing(topic, "", ctx);
-}
-
-/// Replaces a peer that could not supply updates with another one or the store.
-void replace_source(store_topic topic, const char* reason, context& ctx) {
-  const std::string source = state_of(topic, ctx).source;
-  ctx.log("peer_source_failed",
-          {{"peer", source}, {"topic", name_of(topic)}, {"reason", reason}});
-  avoid_peer(source, ctx);
-  resume_following(topic, ctx);
-}
-
-void resume_after(store_topic topic, base::milliseconds delay, topic_phase phase,
-                  context& ctx) {
-  topic_state& state = state_of(topic, ctx);
-  ++state.call_serial;
-  state.phase = phase;
-  ctx.add_timer(ctx.now + delay, timer_kind::store_retry,
-                static_cast<std::uint64_t>(topic), state.call_serial);
-}
-
-void mark_store_recovered(store_topic topic, context& ctx) {
-  ctx.node.store_unavailable = false;
-  ctx.node.store_recovered_at = ctx.now;
-  ctx.log("store_regained", {{"topic", name_of(topic)}});
+                 {"view_age_ms", std::to_string(view_age(state, ctx.now).count())}});
 }
 
 void record_success(store_topic topic, context& ctx) {
   topic_state& state = state_of(topic, ctx);
   state.failures = 0;
-  state.last_current_at = ctx.now;
   ++state.call_serial;
   if (ctx.node.store_unavailable) {
     mark_store_recovered(topic, ctx);
   }
 }
 
-void record_failure(store_topic topic, store_failure failure, const std::string& detail,
-                    context& ctx) {
-  topic_state& state = state_of(topic, ctx);
-  ++state.failures;
-  ++ctx.node.count.store_failures;
-  if (!ctx.node.store_unavailable) {
-    ctx.node.store_unavailable = true;
-    ctx.node.store_unavailable_since = ctx.now;
-    const auto age =
-        std::chrono::duration_cast<base::milliseconds>(ctx.now - state.last_current_at);
-    ctx.log("store_lost",
-            {{"topic", name_of(topic)},
-             {"failure", name_of(failure)},
-             {"detail", detail},
-             {"view_age_ms", std::to_string(age.count())}},
-            true);
-    reply_to_waiting_peers(ctx);
-  }
-}
-
 void apply_catalog(const catalog_ptr& received, context& ctx) {
   if (!received) {
     return;
@@ -251,23 +108,65 @@
   resume_after(topic, backoff(state, ctx), topic_phase::listing, ctx);
 }
 
-/// Switches this node from its peers back to the store, which serves it again.
-void return_to_store(context& ctx) {
-  for (const store_topic topic : {store_topic::configuration, store_topic::leafs}) {
-    topic_state& state = state_of(topic, ctx);
-    if (state.phase == topic_phase::watching && !state.source.empty()) {
-      state.failures = 0;
-      mark_store_recovered(topic, ctx);
-      return;
-    }
+/// Applies the changes in a peer's reply. A peer whose data is outdated is avoided.
+void apply_peer_changes(const peer_replied& event, context& ctx) {
+  const store_topic topic = event.update.topic;
+  topic_state& state = state_of(topic, ctx);
+  mark_verified(state, ctx.now - event.age);
+  state.revision = std::max(state.revision, event.update.revision);
+  if (event.update.configuration || !event.update.leafs.empty()) {
+    log_update("store_changes_applied", topic, event.update.leafs.size(), ctx);
+  }
+  apply_catalog(event.update.configuration, ctx);
+  apply_changes(event.update.leafs, ctx);
+  if (event.age > max_source_age(ctx.node.settings.store)) {
+    drop_source(topic, "outdated", ctx);
   }
+  resume_following(topic, ctx);
+}
+
+/// Handles a peer that did not reply in time. Another peer may be silent too, so that
+/// the node turns to the store unless that is unavailable.
+void on_silent_source(store_topic topic, context& ctx) {
+  const topic_state& state = state_of(topic, ctx);
+  ctx.out.emplace_back(reset_peer_connection{state.source});
+  drop_source(topic, "silent", ctx);
+  if (ctx.node.store_unavailable) {
+    resume_following(topic, ctx);
+    return;
+  }
+  watch_store(topic, ctx);
 }
 
 }  // namespace
 
+void mark_store_recovered(store_topic topic, context& ctx) {
+  ctx.node.store_unavailable = false;
+  ctx.node.store_recovered_at = ctx.now;
+  ctx.log("store_regained", {{"topic", name_of(topic)}});
+}
+
+void record_failure(store_topic topic, store_failure failure, const std::string& detail,
+                    context& ctx) {
+  topic_state& state = state_of(topic, ctx);
+  ++state.failures;
+  ++ctx.node.count.store_failures;
+  if (!ctx.node.store_unavailable) {
+    ctx.node.store_unavailable = true;
+    ctx.node.store_unavailable_since = ctx.now;
+    ctx.log("store_lost",
+            {{"topic", name_of(topic)},
+             {"failure", name_of(failure)},
+             {"detail", detail},
+             {"view_age_ms", std::to_string(view_age(state, ctx.now).count())}},
+            true);
+    reply_to_waiting_peers(ctx);
+  }
+}
+
 void start_following(context& ctx) {
   for (const store_topic topic : {store_topic::configuration, store_topic::leafs}) {
-    state_of(topic, ctx).last_current_at = ctx.now;
+    mark_verified(state_of(topic, ctx), ctx.now);
     start_listing(topic, "", ctx);
   }
 }
@@ -291,6 +190,7 @@
                   static_cast<std::uint64_t>(event.topic));
   } else {
     state.listed = true;
+    mark_verified(state, state.called_at);
   }
   log_update("store_listing_applied", event.topic, listed.size(), ctx);
   if (event.topic == store_topic::leafs) {
@@ -304,10 +204,17 @@
 void on_topic_changed(const topic_changed& event, context& ctx) {
   topic_state& state = state_of(event.topic, ctx);
   record_success(event.topic, ctx);
+  mark_verified(state, ctx.now);
+  const bool empty = event.leafs.empty() && !event.configuration;
+  if (state.checking && !empty) {
+    ctx.log("watch_missed_changes", {{"topic", name_of(event.topic)},
+                                     {"watched_from", std::to_string(state.revision)},
+                                     {"revision", std::to_string(event.revision)}});
+  }
   state.revision = event.revision;
   state.listed = true;
   apply_catalog(event.configuration, ctx);
-  if (event.leafs.empty() && !event.configuration) {
+  if (empty) {
     start_watch(event.topic, ctx);
     return;
   }
@@ -337,49 +244,22 @@
   ++state.call_serial;
   switch (event.kind) {
     case peer_reply_status::changes:
-      state.last_current_at = ctx.now;
-      state.revision = std::max(state.revision, event.update.revision);
-      if (event.update.configuration || !event.update.leafs.empty()) {
-        log_update("store_changes_applied", topic, event.update.leafs.size(), ctx);
-      }
-      apply_catalog(event.update.configuration, ctx);
-      apply_changes(event.update.leafs, ctx);
-      resume_following(topic, ctx);
+      apply_peer_changes(event, ctx);
       return;
     case peer_reply_status::history_dropped:
       start_listing(topic, "", ctx);
       return;
     case peer_reply_status::not_following:
-      replace_source(topic, "not_following", ctx);
+      drop_source(topic, "not_following", ctx);
+      resume_following(topic, ctx);
       return;
     case peer_reply_status::unreachable:
-      replace_source(topic, "unreachable", ctx);
+      drop_source(topic, "unreachable", ctx);
+      resume_following(topic, ctx);
       return;
   }
 }
 
-void on_store_probed(const store_probed& event, context& ctx) {
-  if (event.served && ctx.node.store_unavailable) {
-    return_to_store(ctx);
-  }
-  if (event.answered) {
-    return;
-  }
-  for (const store_topic topic : {store_topic::configuration, store_topic::leafs}) {
-    const topic_state& state = state_of(topic, ctx);
-    // A watch that began after the probe has a probe of its own.
-    const bool started_after_probe =
-        ctx.now - state.called_at < ctx.node.settings.store.probe_limit;
-    if (state.phase != topic_phase::watching || !state.source.empty() ||
-        started_after_probe) {
-      continue;
-    }
-    ctx.out.emplace_back(cancel_store_call{topic});
-    record_failure(topic, store_failure::unreachable, "no answer to a probe", ctx);
-    resume_after(topic, base::milliseconds(0), topic_phase::listing, ctx);
-  }
-}
-
 void on_store_timer(const timer& due, context& ctx) {
   const auto topic = static_cast<store_topic>(due.subject);
   topic_state& state = state_of(topic, ctx);
@@ -395,9 +275,7 @@
     return;
   }
   if (!state.source.empty()) {
-    ctx.out.emplace_back(reset_peer_connection{state.source});
-    ++state.call_serial;
-    replace_source(topic, "silent", ctx);
+    on_silent_source(topic, ctx);
     return;
   }
   state.pages.clear();
--- /dev/null
+++ b/src/ibis/serving/store_probe.cpp
@@ -0,0 +1,94 @@
+#include "ibis/serving/store_probe.hpp"
+
+#include <array>  // for array
+
+#include "ibis/serving/store_follower.hpp"  // for depends_on_store, record_failure
+#include "ibis/serving/topic_calls.hpp"     // for check_watch, start_watch
+#include "ibis/serving/view_age.hpp"        // for mark_verified
+
+namespace ibis::serving {
+namespace {
+
+constexpr std::array<store_topic, store_topic_count> all_topics{
+    store_topic::configuration, store_topic::leafs};
+
+/// Replaces a watch that the store may have dropped without notice.
+void replace_lost_watch(store_topic topic, const store_probed& event, context& ctx) {
+  const topic_state& state = state_of(topic, ctx);
+  const bool watches_store =
+      state.phase == topic_phase::watching && state.source.empty() && !state.paused;
+  // A watch that began after the probe is judged by the next one.
+  if (!watches_store || state.called_at > event.sent_at) {
+    return;
+  }
+  ctx.out.emplace_back(cancel_store_call{topic});
+  record_failure(topic, store_failure::unreachable, "no answer to a probe", ctx);
+  resume_after(topic, base::milliseconds(0), topic_phase::listing, ctx);
+}
+
+/// Ends what a topic waits for since the store did not serve this node.
+void end_wait(store_topic topic, context& ctx) {
+  topic_state& state = state_of(topic, ctx);
+  if (state.phase == topic_phase::watching) {
+    if (!state.source.empty()) {
+      state.failures = 0;
+      if (ctx.node.store_unavailable) {
+        mark_store_recovered(topic, ctx);
+      }
+      start_watch(topic, ctx);
+    }
+    return;
+  }
+  const bool call_is_lost =
+      ctx.now - state.called_at >= ctx.node.settings.store.probe_limit;
+  if (state.paused || call_is_lost) {
+    state.pages.clear();
+    ctx.out.emplace_back(cancel_store_call{topic});
+    start_listing(topic, "", ctx);
+  }
+}
+
+/// Compares a topic's revision with the store's.
+void compare_revision(store_topic topic, const store_probed& event, context& ctx) {
+  topic_state& state = state_of(topic, ctx);
+  if (state.phase != topic_phase::watching || !state.source.empty()) {
+    return;
+  }
+  if (*event.revision <= state.revision) {
+    mark_verified(state, event.sent_at);
+    return;
+  }
+  if (state.paused) {
+    start_watch(topic, ctx);
+    return;
+  }
+  if (!state.checking && state.called_at <= event.sent_at) {
+    check_watch(topic, ctx);
+  }
+}
+
+}  // namespace
+
+void on_probe_due(context& ctx) {
+  const store_settings& settings = ctx.node.settings.store;
+  if (depends_on_store(ctx.node)) {
+    ++ctx.node.count.store_calls;
+    ctx.out.emplace_back(probe_store{settings.probe_limit, ctx.now});
+  }
+  ctx.add_timer(ctx.now + settings.probe_period, timer_kind::probe_store);
+}
+
+void on_store_probed(const store_probed& event, context& ctx) {
+  const bool was_unavailable = ctx.node.store_unavailable;
+  for (const store_topic topic : all_topics) {
+    if (!event.answered) {
+      replace_lost_watch(topic, event, ctx);
+    } else if (event.revision && was_unavailable) {
+      end_wait(topic, ctx);
+    } else if (event.revision) {
+      compare_revision(topic, event, ctx);
+    }
+  }
+}
+
+}  // namespace ibis::serving
--- a/src/ibis/wire/codec.cpp
+++ b/src/ibis/wire/codec.cpp
@@ -168,9 +168,11 @@
   }
   void operator()(const topic_news& value) const {
     const auto texts = out.CreateVectorOfStrings(value.texts);
-    finish(fb::body::topic_news, fb::Createtopic_news(out, value.serial, value.topic,
-                                                      value.kind, value.revision, texts)
-                                     .Union());
+    finish(
+        fb::body::topic_news,
+        fb::Createtopic_news(out, value.serial, value.topic, value.kind, value.revision,
+                             texts, static_cast<std::uint64_t>(value.age.count()))
+            .Union());
   }
   void operator()(const shards_request& value) const {
     const auto route = out.CreateString(value.route);
@@ -311,8 +313,12 @@
 }
 
 message read(const fb::topic_news& source) {
-  topic_news value{
-      source.serial(), source.topic(), source.kind(), source.revision(), {}};
+  topic_news value{source.serial(),
+                   source.topic(),
+                   source.kind(),
+                   source.revision(),
+                   {},
+                   base::milliseconds(source.age_ms())};
   if (source.texts() != nullptr) {
     for (const auto* text : *source.texts()) {
       value.texts.push_back(read_string(text));
--- a/src/ibis/wire/codec_test.cpp
+++ b/src/ibis/wire/codec_test.cpp
@@ -110,7 +110,8 @@
   CHECK(std::get<shards_reply>(round_trip(shards_answer)) == shards_answer);
   const topic_watch watch{3, 1, 77};
   CHECK(std::get<topic_watch>(round_trip(watch)) == watch);
-  const topic_news news{3, 1, 2, 79, {"{}", std::string("a\0b", 3)}};
+  const topic_news news{
+      3, 1, 2, 79, {"{}", std::string("a\0b", 3)}, base::milliseconds(1700)};
   CHECK(std::get<topic_news>(round_trip(news)) == news);
 }
 
--- a/standins/follower_fleet.cpp
+++ b/standins/follower_fleet.cpp
@@ -191,8 +191,12 @@
       const bool answered = !self.partitioned_from_store;
       const bool served = answered && !self.rejected_by_store;
       after(answered ? base::duration(2 * store_delay) : base::duration(probe->limit),
-            [this, node, answered, served] {
-              deliver_event(node, serving::store_probed{answered, served});
+            [this, node, answered, served, sent_at = probe->sent_at] {
+              serving::store_probed probed{answered, sent_at, {}};
+              if (served) {
+                probed.revision = revision_;
+              }
+              deliver_event(node, probed);
             });
     }
   }
@@ -255,7 +259,9 @@
     return true;
   }
   const bool wait_over = now_ >= watch.until;
-  if (nodes.at(watch.node).partitioned_from_store || (watch.silenced && !wait_over)) {
+  const fleet_node& watcher = nodes.at(watch.node);
+  const bool cut_off = watcher.partitioned_from_store || watcher.rejected_by_store;
+  if (cut_off || (watch.silenced && !wait_over)) {
     return false;
   }
   if (watch.revision < oldest_revision_) {
@@ -330,7 +336,7 @@
   if (!can_reach(node, effect.node)) {
     return;
   }
-  serving::peer_replied reply{node, effect.serial, effect.kind, {}};
+  serving::peer_replied reply{node, effect.serial, effect.kind, {}, effect.age};
   reply.update.topic = effect.topic;
   reply.update.revision = effect.revision;
   for (const auto& text : effect.texts) {
--- a/standins/follower_fleet.hpp
+++ b/standins/follower_fleet.hpp
@@ -23,7 +23,8 @@
     std::string availability_zone;
     bool alive = true;
     bool paused = false;  ///< Its timers do not fire, and its events are deferred.
-    bool rejected_by_store = false;       ///< The store answers its calls with "busy".
+    /// The store answers its calls with "busy", and its open watches with nothing.
+    bool rejected_by_store = false;
     bool partitioned_from_store = false;  ///< Its calls of the store get no answer.
     std::uint64_t watch_count = 0;        ///< Watch calls that it made to the store.
     std::uint64_t list_count = 0;         ///< List calls that it made to the store.
--- a/standins/holder_fleet.cpp
+++ b/standins/holder_fleet.cpp
@@ -212,9 +212,9 @@
                          answered->answer, now_});
     } else if (const auto* done = std::get_if<serving::finish_process>(&effect)) {
       nodes.at(node).aborted_requests = done->aborted_requests;
-    } else if (std::holds_alternative<serving::probe_store>(effect)) {
-      after(milliseconds(1), [this, node] {
-        deliver_event(node, serving::store_probed{true, true});
+    } else if (const auto* probe = std::get_if<serving::probe_store>(&effect)) {
+      after(milliseconds(1), [this, node, sent_at = probe->sent_at] {
+        deliver_event(node, serving::store_probed{true, sent_at, 0});
       });
     }
   }
--- a/standins/serving_fleet.cpp
+++ b/standins/serving_fleet.cpp
@@ -183,9 +183,12 @@
       const bool answered =
           store_mode_ == store_mode::healthy || store_mode_ == store_mode::busy;
       after(answered ? 2 * one_way_delay : base::duration(probe->limit),
-            [this, answered] {
-              deliver_event(
-                  serving::store_probed{answered, store_mode_ == store_mode::healthy});
+            [this, answered, sent_at = probe->sent_at] {
+              serving::store_probed probed{answered, sent_at, {}};
+              if (store_mode_ == store_mode::healthy) {
+                probed.revision = revision_;
+              }
+              deliver_event(probed);
             });
     } else if (std::holds_alternative<serving::stop_accepting>(effect)) {
       accepting = false;
--- a/tests/serving_peers_test.cpp
+++ b/tests/serving_peers_test.cpp
@@ -1,7 +1,8 @@
 #include <catch2/catch.hpp>  // for TEST_CASE, CHECK
 #include <random>            // for mt19937_64
 
-#include "follower_fleet.hpp"  // for follower_fleet
+#include "follower_fleet.hpp"         // for follower_fleet
+#include "ibis/serving/view_age.hpp"  // for fit_propagation, longest_propagation
 
 namespace ibis::tests {
 namespace {
@@ -51,6 +52,16 @@
   return found;
 }
 
+/// @return The names of all nodes that query the store themselves.
+std::vector<std::string> all_watchers(const follower_fleet& fleet) {
+  std::vector<std::string> found;
+  for (std::size_t zone = 0; zone < zone_count; ++zone) {
+    const auto of_zone = watchers(fleet, "zone-" + std::to_string(zone));
+    found.insert(found.end(), of_zone.begin(), of_zone.end());
+  }
+  return found;
+}
+
 TEST_CASE("Two nodes of each zone watch the store, and all nodes get each change") {
   follower_fleet fleet;
   populate(fleet);
@@ -58,14 +69,24 @@
     CHECK(watchers(fleet, "zone-" + std::to_string(zone)).size() == 2);
   }
   const std::uint64_t before = fleet.count_watches();
+  std::uint64_t before_of_watchers = 0;
+  for (const std::string& name : all_watchers(fleet)) {
+    before_of_watchers += fleet.nodes.at(name).watch_count;
+  }
   fleet.configure(3);
   fleet.add_leaf("leaf-2");
   fleet.run_for(milliseconds(100));
   CHECK(fleet.count_nodes_at_version(3) == node_count);
   CHECK(fleet.count_nodes_knowing_leaf("leaf-2") == node_count);
   fleet.run_for(seconds(2));
-  // Each watcher watches each topic once, and no other node calls the store.
-  CHECK(fleet.count_watches() - before == 2 * 2 * zone_count);
+  // Each watcher watches each topic once. The revision of one topic then lags behind
+  // the store's, which takes a check and another watch. No other node calls the store.
+  CHECK(fleet.count_watches() - before == 2 * 2 * zone_count + 2 * 2 * zone_count);
+  std::uint64_t after_of_watchers = 0;
+  for (const std::string& name : all_watchers(fleet)) {
+    after_of_watchers += fleet.nodes.at(name).watch_count;
+  }
+  CHECK(after_of_watchers - before_of_watchers == fleet.count_watches() - before);
 }
 
 TEST_CASE("Changes reach all other nodes in time when a zone's watchers fail") {
@@ -155,6 +176,54 @@
   CHECK(fleet.count_nodes_at_version(3) == node_count);
 }
 
+// Guards against waits that are each short but together exceed the time in which a node
+// must stop sending to a leaf that left: the watchers of one zone fail in one way,
+// those of all others have silent watches, and so many records vanish that they are
+// held.
+TEST_CASE("The longest path of a change to a node keeps the propagation limit") {
+  const std::vector<std::function<void(follower_fleet::fleet_node&)>> failures{
+      [](follower_fleet::fleet_node& node) { node.paused = true; },
+      [](follower_fleet::fleet_node& node) { node.partitioned_from_store = true; },
+      [](follower_fleet::fleet_node& node) { node.rejected_by_store = true; }};
+  constexpr milliseconds phase_step{150};
+  constexpr int phases = 12;
+  constexpr int removed = 6;
+  for (std::size_t failure = 0; failure < failures.size(); ++failure) {
+    for (int phase = 0; phase < phases; ++phase) {
+      follower_fleet fleet;
+      populate(fleet);
+      for (int leaf = 0; leaf < removed; ++leaf) {
+        fleet.add_leaf("leaving-" + std::to_string(leaf));
+      }
+      fleet.run_for(seconds(3) + phase * phase_step);
+      const auto failed = watchers(fleet, "zone-1");
+      for (const std::string& name : failed) {
+        failures[failure](fleet.nodes.at(name));
+      }
+      fleet.drop_history_silently();
+      for (int leaf = 0; leaf < removed; ++leaf) {
+        fleet.remove_leaf("leaving-" + std::to_string(leaf));
+      }
+      fleet.run_for(propagation_limit);
+      INFO("failure " << failure << ", phase " << phase);
+      for (int leaf = 0; leaf < removed; ++leaf) {
+        const std::string name = "leaving-" + std::to_string(leaf);
+        CHECK(fleet.count_nodes_knowing_leaf(name) <= failed.size());
+      }
+    }
+  }
+}
+
+TEST_CASE("A propagation limit determines how often watches are checked") {
+  serving::node_settings settings;
+  const milliseconds shortest = serving::shortest_propagation_limit(settings);
+  CHECK(shortest <= propagation_limit);
+  for (milliseconds limit = shortest; limit < seconds(20); limit += milliseconds(100)) {
+    serving::fit_propagation(settings, limit);
+    CHECK(serving::longest_propagation(settings) <= limit);
+  }
+}
+
 TEST_CASE("Every node gets every change in time under random faults") {
   for (std::uint64_t seed = 1; seed <= 30; ++seed) {
     follower_fleet fleet;
