A planned stop answers every request, also those that arrive late

Reported by other operators: requests that came late in the grace period of a planned stop were taken, passed on, and cut without an answer at its end, among them some that must not be repeated. It could happen here: as long as some request is unanswered, open connections keep the node serving until its limit, and what was in flight then was dropped. The new test lost the requests of the last 0.6 s on all three kinds of routes.

Once load balancers have noticed the stop, a request that may outlast it is refused at once with 503, true, and another node takes it. At the limit every unanswered request is answered: merged if enough shards are in, 503 if no leaf can have run it, 502 otherwise.

--- a/include/ibis/serving/request_completion.hpp
+++ b/include/ibis/serving/request_completion.hpp
@@ -5,6 +5,11 @@
 
 namespace ibis::serving {
 
+/// Answers a request now, from the shards that have answered if they are enough.
+/// @param reason Why it is answered early, for the log.
+void answer_with_what_is_ready(pending_request& pending, const char* reason,
+                               context& ctx);
+
 /// Answers a fan-out request by merging the shard answers received so far. The answer
 /// states how many shards are missing.
 void answer_merged(pending_request& pending, context& ctx);
--- a/src/ibis/serving/node.cpp
+++ b/src/ibis/serving/node.cpp
@@ -1,17 +1,20 @@
 #include "ibis/serving/node.hpp"
 
 #include <variant>  // for visit
+#include <vector>   // for vector
 
-#include "ibis/serving/connections.hpp"      // for maintain_connections
-#include "ibis/serving/holders.hpp"          // for update_holders
-#include "ibis/serving/leaf_events.hpp"      // for on_leaf_answered
-#include "ibis/serving/peer_replies.hpp"     // for on_peer_query
-#include "ibis/serving/pending_request.hpp"  // for on_request
-#include "ibis/serving/registry.hpp"         // for remove_expired_leafs
-#include "ibis/serving/shard_replies.hpp"    // for on_shards_requested
-#include "ibis/serving/shard_requests.hpp"   // for on_shards_replied
-#include "ibis/serving/store_follower.hpp"   // for start_following
-#include "ibis/serving/store_probe.hpp"      // for on_probe_due, on_store_probed
+#include "ibis/serving/attempt.hpp"             // for find_pending_request
+#include "ibis/serving/connections.hpp"         // for maintain_connections
+#include "ibis/serving/holders.hpp"             // for update_holders
+#include "ibis/serving/leaf_events.hpp"         // for on_leaf_answered
+#include "ibis/serving/peer_replies.hpp"        // for on_peer_query
+#include "ibis/serving/pending_request.hpp"     // for on_request
+#include "ibis/serving/registry.hpp"            // for remove_expired_leafs
+#include "ibis/serving/request_completion.hpp"  // for answer_with_what_is_ready
+#include "ibis/serving/shard_replies.hpp"       // for on_shards_requested
+#include "ibis/serving/shard_requests.hpp"      // for on_shards_replied
+#include "ibis/serving/store_follower.hpp"      // for start_following
+#include "ibis/serving/store_probe.hpp"         // for on_probe_due, on_store_probed
 
 namespace ibis::serving {
 namespace {
@@ -27,11 +30,26 @@
   ctx.add_timer(ctx.now + period, timer_kind::maintenance);
 }
 
+/// Answers all requests that have no answer yet, since the process must exit.
+/// @return Their number.
+std::size_t answer_unfinished_requests(context& ctx) {
+  std::vector<base::caller_id> callers;
+  for (const auto& [caller, pending] : ctx.node.pending_requests) {
+    callers.push_back(caller);
+  }
+  for (const base::caller_id caller : callers) {
+    if (pending_request* pending = find_pending_request(caller, ctx)) {
+      answer_with_what_is_ready(*pending, "stopping", ctx);
+    }
+  }
+  return callers.size();
+}
+
 void finish_stop(context& ctx) {
   ctx.node.stop.finished = true;
-  const std::size_t aborted_requests = ctx.node.pending_requests.size();
-  ctx.log("stopped", {{"cut", std::to_string(aborted_requests)}}, aborted_requests > 0);
-  ctx.out.emplace_back(finish_process{aborted_requests});
+  const std::size_t unfinished = answer_unfinished_requests(ctx);
+  ctx.log("stopped", {{"unfinished", std::to_string(unfinished)}}, unfinished > 0);
+  ctx.out.emplace_back(finish_process{ctx.node.pending_requests.size()});
 }
 
 void on_stop_requested(context& ctx) {
--- a/src/ibis/serving/pending_request.cpp
+++ b/src/ibis/serving/pending_request.cpp
@@ -187,6 +187,14 @@
   answer_if_ready(*pending, ctx);
 }
 
+/// Whether a request that arrives now may be unfinished when the process must exit.
+/// While load balancers may not have noticed the stop, it is served as far as possible.
+bool may_outlast_stop(base::milliseconds timeout, const context& ctx) {
+  const stop_state& stop = ctx.node.stop;
+  return stop.requested && !stop.accepting &&
+         ctx.now + timeout > stop.requested_at + ctx.node.settings.stop.limit;
+}
+
 }  // namespace
 
 void start_request(pending_request&& pending, context& ctx) {
@@ -220,16 +228,21 @@
     reject_request(event.caller, request, status_not_found, "no route matches", ctx);
     return;
   }
+  const base::milliseconds deadline =
+      request.deadline.value_or(ctx.node.settings.default_timeout);
+  const base::milliseconds timeout = std::min(deadline, matched->timeout);
+  if (may_outlast_stop(timeout, ctx)) {
+    refuse_request(event.caller, request, stopping_retry_after, "stopping", ctx);
+    return;
+  }
   pending_request pending;
   pending.caller = event.caller;
   pending.request = event.request;
   pending.configuration = ctx.node.configuration;
   pending.route = matched;
   pending.arrived = ctx.now;
-  const base::milliseconds timeout =
-      request.deadline.value_or(ctx.node.settings.default_timeout);
-  pending.deadline = ctx.now + timeout;
-  pending.effective_deadline = ctx.now + std::min(timeout, matched->timeout);
+  pending.deadline = ctx.now + deadline;
+  pending.effective_deadline = ctx.now + timeout;
   pending.objective_deadline =
       ctx.now + answer_time_budget(*matched, event.first_on_connection, ctx);
   start_request(std::move(pending), ctx);
--- a/src/ibis/serving/request_completion.cpp
+++ b/src/ibis/serving/request_completion.cpp
@@ -127,6 +127,17 @@
   complete_request(pending, std::move(answer), outcome::not_run, reason, ctx);
 }
 
+void answer_with_what_is_ready(pending_request& pending, const char* reason,
+                               context& ctx) {
+  const bool enough = pending.route->shape == route_shape::fan_out && !pending.remote &&
+                      pending.parts >= required_shards(*pending.route);
+  if (enough) {
+    answer_merged(pending, ctx);
+    return;
+  }
+  answer_failure(pending, reason, ctx);
+}
+
 void answer_timeout(pending_request& pending, context& ctx) {
   if (pending.remote) {
     finish_shards(pending, "timeout", ctx);
--- a/tests/serving_faults_test.cpp
+++ b/tests/serving_faults_test.cpp
@@ -1,5 +1,6 @@
 #include <catch2/catch.hpp>  // for TEST_CASE, CHECK
 #include <functional>        // for function
+#include <map>               // for map
 #include <set>               // for set
 
 #include "serving_fleet.hpp"  // for serving_fleet
@@ -411,6 +412,43 @@
   }
 }
 
+// Guards against requests that arrive late in a planned stop, are sent to a leaf and
+// are then cut off without an answer when the time for the stop is over.
+TEST_CASE("Every request of a planned stop is answered, also if it arrives late") {
+  for (const char* path : {"/write/", "/read/", "/q/"}) {
+    INFO(path);
+    serving_fleet fleet(14);
+    populate(fleet);
+    for (auto& [name, leaf] : fleet.leafs) {
+      leaf.service_time = [](std::mt19937_64&) { return milliseconds(600); };
+    }
+    fleet.stop();
+    fleet.run_for(milliseconds(2900));
+    // Open connections are used on, so that the node is never without a request.
+    std::map<std::string, base::caller_id> callers;
+    for (int index = 0; !fleet.aborted_requests; ++index) {
+      const std::string id = "late-" + std::to_string(index);
+      callers[id] = fleet.send_request(id, path, milliseconds(2000));
+      fleet.run_for(milliseconds(100));
+    }
+    CHECK(fleet.aborted_requests == 0U);
+    CHECK(fleet.now() - fleet.node.stop.requested_at <=
+          fleet.node.settings.stop.limit + milliseconds(100));
+    std::set<std::string> arrived;
+    for (const auto& arrival : fleet.arrivals) {
+      arrived.insert(arrival.request);
+    }
+    for (const auto& [id, caller] : callers) {
+      INFO(id);
+      const auto* answer = fleet.find_answer(caller);
+      REQUIRE(answer != nullptr);
+      CHECK((answer->answer.status != 503 || !arrived.contains(id)));
+    }
+    const auto* first = fleet.find_answer(callers.at("late-0"));
+    CHECK(first->answer.status == 200);
+  }
+}
+
 TEST_CASE(
     "A stopping node accepts requests until load balancers notice and answers them "
     "all") {
