Tests of answers whose head breaks off

Reported by other operators: a leaf stopped in the middle of its answer's head and closed, and clients got a 200 with an empty body. It does not happen here: for every length of five responses, the parser and the connection report a loss.

--- a/src/ibis/http/parser_test.cpp
+++ b/src/ibis/http/parser_test.cpp
@@ -105,6 +105,33 @@
   CHECK_FALSE(parser.finish());
 }
 
+// Guards against a leaf that stops in the middle of its response's head and closes:
+// what has arrived must not pass as a whole response, with an empty or a short body.
+TEST_CASE("A response that ends anywhere in its head or body is not complete") {
+  const std::string head = "HTTP/1.1 200 OK\r\nServer: a\r\n";
+  const std::vector<std::string> whole_responses{
+      head + "Content-Length: 12\r\nKeep-Alive: timeout=5\r\n\r\nabcdefghijkl",
+      head + "Transfer-Encoding: chunked\r\n\r\n4\r\nabcd\r\n0\r\nA: b\r\n\r\n",
+      head + "Content-Length: 0\r\n\r\n", "HTTP/1.1 204 No Content\r\nA: b\r\n\r\n",
+      "HTTP/1.1 503 \r\nA: b\r\nContent-Length: 2\r\n\r\n{}"};
+  for (const std::string& text : whole_responses) {
+    for (std::size_t size = 0; size < text.size(); ++size) {
+      INFO(text.substr(0, size));
+      response_parser parser(limits, false);
+      CHECK(parser.feed(text.substr(0, size)).state == parse_state::need_more);
+      CHECK_FALSE(parser.finish());
+    }
+  }
+  // Without a length the body ends with the connection, but the head must be whole.
+  const std::string without_length = head + "\r\n";
+  for (std::size_t size = 0; size < without_length.size(); ++size) {
+    INFO(without_length.substr(0, size));
+    response_parser parser(limits, false);
+    parser.feed(without_length.substr(0, size));
+    CHECK_FALSE(parser.finish());
+  }
+}
+
 TEST_CASE("A response to HEAD has no body") {
   response_parser parser(limits, true);
   const auto progress = parser.feed("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n");
--- a/src/ibis/reactor/leaf_connection_test.cpp
+++ b/src/ibis/reactor/leaf_connection_test.cpp
@@ -220,6 +220,20 @@
   }
 }
 
+// Guards against a leaf that stops in the middle of its answer's head and closes: that
+// must not count as an answer with an empty body.
+TEST_CASE("An answer whose head breaks off anywhere is lost") {
+  const std::string head =
+      "HTTP/1.1 200 OK\r\nAnswer-To: r1\r\nContent-Length: 0\r\n\r\n";
+  for (std::size_t size = 0; size < head.size(); ++size) {
+    INFO(head.substr(0, size));
+    const session_result result =
+        run_session({head.substr(0, size)}, leaf_end::close, 1);
+    CHECK(result.lost);
+    CHECK(result.bodies.empty());
+  }
+}
+
 TEST_CASE("An answer without a length is complete when its connection ends cleanly") {
   const session_result result = run_session(
       {"HTTP/1.1 200 OK\r\nAnswer-To: r1\r\n\r\nwhole"}, leaf_end::close, 1);
