A listing of several pages is continued from its first page's revision

The node kept the old record until the next listing.

The watch now repeats the changes between the pages. Only the last change of each leaf in an answer is applied, so that a leaf that drains does not look ready in between.

--- a/include/ibis/serving/state.hpp
+++ b/include/ibis/serving/state.hpp
@@ -185,7 +185,9 @@
   bool paused = false;    ///< It is between two calls, until a timer fires.
   bool checking = false;  ///< The current call checks whether a watch missed changes.
   std::vector<leaf_change> pages;  ///< Entries of an incomplete listing.
-  std::string source;              ///< Name of the peer queried; empty for the store.
+  /// Revision of the first page of the listing. Later pages may be newer.
+  std::optional<std::uint64_t> listing_revision;
+  std::string source;  ///< Name of the peer queried; empty for the store.
   topic_history history;
 };
 
--- a/src/ibis/serving/registry.cpp
+++ b/src/ibis/serving/registry.cpp
@@ -1,6 +1,6 @@
 #include "ibis/serving/registry.hpp"
 
-#include <algorithm>      // for count_if, max, remove
+#include <algorithm>      // for count_if, reverse
 #include <string>         // for string
 #include <unordered_set>  // for unordered_set
 
@@ -140,6 +140,19 @@
   remove_leaf(id, ctx);
 }
 
+/// @return The last change of each leaf. Earlier ones may be repeated and outdated.
+std::vector<leaf_change> latest_changes(const std::vector<leaf_change>& received) {
+  std::unordered_set<std::string> seen;
+  std::vector<leaf_change> latest;
+  for (auto change = received.rbegin(); change != received.rend(); ++change) {
+    if (seen.insert(change->id).second) {
+      latest.push_back(*change);
+    }
+  }
+  std::reverse(latest.begin(), latest.end());
+  return latest;
+}
+
 }  // namespace
 
 void apply_listing(const std::vector<leaf_change>& listed, context& ctx) {
@@ -162,7 +175,8 @@
   }
 }
 
-void apply_changes(const std::vector<leaf_change>& changes, context& ctx) {
+void apply_changes(const std::vector<leaf_change>& received, context& ctx) {
+  const std::vector<leaf_change> changes = latest_changes(received);
   const auto removals = static_cast<std::size_t>(
       std::count_if(changes.begin(), changes.end(),
                     [](const leaf_change& change) { return !change.record; }));
--- a/src/ibis/serving/store_follower.cpp
+++ b/src/ibis/serving/store_follower.cpp
@@ -175,6 +175,9 @@
   topic_state& state = state_of(event.topic, ctx);
   record_success(event.topic, ctx);
   apply_catalog(event.configuration, ctx);
+  // Changes between two pages are repeated by a watch from the first page's revision.
+  const std::uint64_t revision = state.listing_revision.value_or(event.revision);
+  state.listing_revision = revision;
   state.pages.insert(state.pages.end(), event.leafs.begin(), event.leafs.end());
   if (!event.next_page_after.empty()) {
     start_listing(event.topic, event.next_page_after, ctx);
@@ -182,7 +185,7 @@
   }
   const std::vector<leaf_change> listed = std::move(state.pages);
   state.pages.clear();
-  state.revision = event.revision;
+  state.revision = revision;
   if (may_list_stale_leafs(event.topic, state)) {
     state.stale_listing_tried = true;
     ctx.add_timer(ctx.now + ctx.node.settings.store.stale_catch_up_time,
@@ -196,7 +199,7 @@
   if (event.topic == store_topic::leafs) {
     apply_listing(listed, ctx);
   }
-  restart_history(event.topic, event.revision, ctx);
+  restart_history(event.topic, revision, ctx);
   start_watch(event.topic, ctx);
   reply_to_waiting_peers(ctx);
 }
--- /dev/null
+++ b/src/ibis/serving/store_follower_test.cpp
@@ -0,0 +1,74 @@
+#include "ibis/serving/store_follower.hpp"
+
+#include <algorithm>         // for find_if
+#include <catch2/catch.hpp>  // for TEST_CASE, CHECK
+
+#include "ibis/serving/node.hpp"  // for make_node, reduce, start
+
+namespace ibis::serving {
+namespace {
+
+constexpr base::time_point start_time{std::chrono::hours(1)};
+
+leaf_record make_record(const std::string& id, bool draining) {
+  leaf_record record;
+  record.id = id;
+  record.service = "s";
+  record.address = "10.0.0.1:1";
+  record.slots = 2;
+  record.draining = draining;
+  record.started_at = base::milliseconds(1);
+  return record;
+}
+
+topic_listed make_page(std::uint64_t revision, const std::string& leaf,
+                       const std::string& next_page_after) {
+  return {store_topic::leafs,
+          revision,
+          next_page_after,
+          {{leaf, make_record(leaf, false)}},
+          nullptr};
+}
+
+/// @return The watch of leafs among the effects, if there is one.
+const watch_topic* find_watch(const effects& out) {
+  const auto found = std::find_if(out.begin(), out.end(), [](const effect& value) {
+    const auto* watch = std::get_if<watch_topic>(&value);
+    return watch != nullptr && watch->topic == store_topic::leafs;
+  });
+  return found == out.end() ? nullptr : &std::get<watch_topic>(*found);
+}
+
+}  // namespace
+
+// Guards against a change of a leaf that is made between the pages of a listing: the
+// page with the leaf was read before it, and a watch from the last page's revision
+// misses it.
+TEST_CASE("Leafs are watched from the revision of a listing's first page") {
+  node_state node = make_node({}, 1);
+  start(node, start_time);
+  reduce(node, make_page(10, "a", "a"), start_time);
+  const effects out = reduce(node, make_page(15, "b", ""), start_time);
+  const watch_topic* watch = find_watch(out);
+  REQUIRE(watch != nullptr);
+  CHECK(watch->revision == 10);
+}
+
+TEST_CASE("Of several changes of a leaf in one answer only the last one is applied") {
+  node_state node = make_node({}, 1);
+  start(node, start_time);
+  reduce(node, make_page(10, "a", ""), start_time);
+  topic_changed changed{store_topic::leafs, 15, {}, nullptr, nullptr};
+  changed.leafs.push_back({"a", make_record("a", true)});
+  reduce(node, changed, start_time);
+  // The watch that follows a listing may repeat changes that the listing had.
+  changed.leafs.insert(changed.leafs.begin(), {"a", make_record("a", false)});
+  const effects out = reduce(node, changed, start_time);
+  CHECK(node.leafs.at("a")->record.draining);
+  for (const effect& value : out) {
+    const auto* line = std::get_if<log_line>(&value);
+    CHECK((line == nullptr || std::string(line->name) != "leaf_draining"));
+  }
+}
+
+}  // namespace ibis::serving
--- a/src/ibis/serving/topic_calls.cpp
+++ b/src/ibis/serving/topic_calls.cpp
@@ -64,6 +64,10 @@
 void start_listing(store_topic topic, const std::string& after, context& ctx) {
   topic_state& state = state_of(topic, ctx);
   state.phase = topic_phase::listing;
+  if (after.empty()) {
+    state.pages.clear();
+    state.listing_revision.reset();
+  }
   set_source(topic, "", ctx);
   ++ctx.node.count.store_calls;
   start_call(topic, ctx.node.settings.store.list_timeout, ctx);
