--- a/include/ibis/serving/state.hpp
+++ b/include/ibis/serving/state.hpp
@@ -187,6 +187,7 @@
   std::vector<leaf_change> pages;  ///< Entries of an incomplete listing.
   /// Revision of the first page of the listing. Later pages may be newer.
   std::optional<std::uint64_t> listing_revision;
+  base::time_point listing_started_at{};
   std::string source;  ///< Name of the peer queried; empty for the store.
   topic_history history;
 };
--- a/src/ibis/serving/store_follower.cpp
+++ b/src/ibis/serving/store_follower.cpp
@@ -193,7 +193,7 @@
                   static_cast<std::uint64_t>(event.topic));
   } else {
     state.listed = true;
-    mark_verified(state, state.called_at);
+    mark_verified(state, state.listing_started_at);
   }
   log_update("store_listing_applied", event.topic, listed.size(), ctx);
   if (event.topic == store_topic::leafs) {
--- a/src/ibis/serving/store_follower_test.cpp
+++ b/src/ibis/serving/store_follower_test.cpp
@@ -48,7 +48,16 @@
   node_state node = make_node({}, 1);
   start(node, start_time);
   reduce(node, make_page(10, "a", "a"), start_time);
-  const effects out = reduce(node, make_page(15, "b", ""), start_time);
+  // The first listing may be stale; this one follows a failure of the watch.
+  reduce(node, make_page(10, "b", ""), start_time);
+  reduce(node, store_call_failed{store_topic::leafs, store_failure::unreachable, ""},
+         start_time);
+  const base::time_point second_start = start_time + std::chrono::seconds(5);
+  reduce(node, tick{}, second_start);
+  reduce(node, make_page(10, "a", "a"), second_start + std::chrono::seconds(1));
+  const effects out =
+      reduce(node, make_page(15, "b", ""), second_start + std::chrono::seconds(2));
+  CHECK(node.topics[1].verified_at == second_start);
   const watch_topic* watch = find_watch(out);
   REQUIRE(watch != nullptr);
   CHECK(watch->revision == 10);
--- a/src/ibis/serving/topic_calls.cpp
+++ b/src/ibis/serving/topic_calls.cpp
@@ -67,6 +67,7 @@
   if (after.empty()) {
     state.pages.clear();
     state.listing_revision.reset();
+    state.listing_started_at = ctx.now;
   }
   set_source(topic, "", ctx);
   ++ctx.node.count.store_calls;
