--- a/src/ibis/serving/store_follower.cpp
+++ b/src/ibis/serving/store_follower.cpp
@@ -29,7 +29,7 @@
   return "";
 }
 
-/// Logs that changes or a listing of a topic were applied, and how old the data was.
+/// Logs that changes or a listing of a topic were applied, and how old the data is.
 void log_update(const char* name, store_topic topic, std::size_t entries,
                 context& ctx) {
   const topic_state& state = state_of(topic, ctx);
--- a/standins/follower_fleet.cpp
+++ b/standins/follower_fleet.cpp
@@ -94,13 +94,17 @@
   }
 }
 
-void follower_fleet::drop_history_silently() {
-  oldest_revision_ = ++revision_;
+void follower_fleet::silence_watches() {
   for (pending_watch& watch : watches_) {
     watch.silenced = true;
   }
 }
 
+void follower_fleet::drop_history_silently() {
+  silence_watches();
+  oldest_revision_ = ++revision_;
+}
+
 void follower_fleet::run_for(base::duration time) {
   const base::time_point end = now_ + time;
   // Answers the watches of nodes that could not reach the store before.
--- a/standins/follower_fleet.hpp
+++ b/standins/follower_fleet.hpp
@@ -43,8 +43,10 @@
   /// Drops the store's history of changes: open watches are disconnected, and watches
   /// from an older revision fail.
   void drop_history();
-  /// Drops the store's history of changes without disconnecting the open watches: they
-  /// get no changes any more, and fail only when their wait is over.
+  /// Makes the open watches get no changes any more. New ones get all changes.
+  void silence_watches();
+  /// Silences the open watches and drops the store's history of changes, so that
+  /// watches from an older revision fail.
   void drop_history_silently();
   /// Advances the virtual time and runs everything that becomes due.
   void run_for(base::duration time);
