--- a/review/4/case.cc
+++ b/review/4/case.cc
@@ -15,7 +15,8 @@
 /// How long the leaf serves after the store has accepted its report.
 constexpr double serve_on_ms = 8000;
 constexpr double work_ms = 60;
-constexpr double send_period_ms = 50;
+constexpr double send_period_ms = 50;  ///< Of each client.
+constexpr int clients_of_node = 6;
 /// Leafs of another service, so that the one that leaves is an eighth of all.
 constexpr int other_leafs = 6;
 constexpr const char* leaving_id = "leaf-1";
@@ -139,7 +140,7 @@
   const double drain_at = away_at + drain_after_ms;
   const double gone_at = drain_at + serve_on_ms;
   std::vector<std::thread> clients;
-  for (int i = 0; i < 3; ++i) {
+  for (int i = 0; i < clients_of_node; ++i) {
     clients.emplace_back(send_requests, front.clients, i, gone_at + 1000,
                          std::ref(state));
   }
