--- a/review/1/case.cc
+++ b/review/1/case.cc
@@ -28,7 +28,7 @@
   std::map<std::string, int> runs;      ///< By request id.
   std::map<std::string, int> statuses;  ///< Of the client, by request id.
   int refusals = 0;
-  int copies = 0;
+  std::atomic<int> copies{0};
   std::mutex mutex;
 };
 
@@ -65,35 +65,39 @@
       }
       sleep_ms(work_ms);
       leave();
-      count_answer();
-      send(peer, response(200,
-                          "X-Request-Id: " + id + "\r\nX-Server-Stamp: " + id_ + "." +
-                              id + "\r\n",
-                          "done " + id));
+      answer(peer, response(200,
+                            "X-Request-Id: " + id + "\r\nX-Server-Stamp: " + id_ + "." +
+                                id + "\r\n",
+                            "done " + id));
     }
   }
 
   void refuse(const connection_ptr& peer, const std::string& id) {
-    const std::string bytes =
-        response(503, "X-Request-Id: " + id + "\r\nX-Not-Executed: 1\r\n", "full");
+    {
+      const std::lock_guard lock(log_.mutex);
+      ++log_.refusals;
+      record().add(id_, " refuses ", id);
+    }
+    answer(peer,
+           response(503, "X-Request-Id: " + id + "\r\nX-Not-Executed: 1\r\n", "full"));
+  }
+
+  /// Sends an answer, whatever it is, and a late second copy of it if that is due.
+  void answer(const connection_ptr& peer, const std::string& bytes) {
     send(peer, bytes);
-    const std::lock_guard lock(log_.mutex);
-    ++log_.refusals;
-    const bool twice = count_answer();
-    record().add(id_, " refuses ", id, twice ? ", and once more late" : "");
-    if (twice) {
-      ++copies_;
-      ++log_.copies;
-      std::thread([this, peer, bytes] {
-        sleep_ms(copy_delay_ms);
-        send(peer, bytes);
-      }).detach();
+    if (!count_answer()) {
+      return;
     }
+    record().add(id_, " sends its last answer once more, late: ", bytes.substr(9, 3));
+    ++log_.copies;
+    std::thread([peer, bytes] {
+      sleep_ms(copy_delay_ms);
+      send(peer, bytes);
+    }).detach();
   }
 
   /// Counts an answer of a span.
-  /// @return Whether one that is due is sent twice. The share holds for all answers of
-  /// the leaf, refusals and others.
+  /// @return Whether it is sent twice: every n-th one, a refusal or not.
   bool count_answer() {
     const std::lock_guard lock(mutex_);
     const double since = now_ms() - spans_start_;
@@ -102,8 +106,7 @@
     if (!has_copies_ || !in_span) {
       return false;
     }
-    ++answers_;
-    return answers_ / answers_per_copy > copies_;
+    return ++answers_ % answers_per_copy == 0;
   }
 
   static void send(const connection_ptr& peer, const std::string& bytes) {
@@ -136,7 +139,6 @@
   int running_ = 0;
   int queued_ = 0;
   int answers_ = 0;  ///< In spans.
-  int copies_ = 0;
   std::atomic<double> spans_start_{0};
   server server_;
 };
@@ -222,7 +224,7 @@
       to_text(twice) + " requests ran more than once and " + to_text(refused_and_run) +
       " were refused though they ran, of " + to_text(log.statuses.size()) + " (" +
       to_text(log.refusals) + " refusals by leafs, " + to_text(log.copies) +
-      " of them sent twice)";
+      " answers sent twice)";
   finish(running, files, argv[1], twice + refused_and_run > 0 ? exit_broken : exit_held,
          summary);
 }
