A request is never sent again on a connection that has carried it

Cause: a connection matches an answer to the request in flight by the request's id. A refused request may be sent to the same leaf again, on the connection used last, which is the one that carried it; a late second copy of the refusal then has the right id.

Ruled out: copies on an idle connection (they end it), copies while another request is in flight (skipped by id), two answers in one read (the connection is closed).

A connection now remembers the ids that it carried until they cannot be sent again, and find_idle passes over it for these. With no other connection allowed, the one that was idle longest makes room for a new one. This covers two requests with one id as well.

--- a/include/ibis/serving/connections.hpp
+++ b/include/ibis/serving/connections.hpp
@@ -2,6 +2,8 @@
 /// when to open and close them.
 #pragma once
 
+#include <cstddef>   // for size_t
+#include <cstdint>   // for uint64_t
 #include <optional>  // for optional
 
 #include "ibis/serving/state.hpp"  // for context
@@ -19,14 +21,34 @@
 base::connection_id open_connection_to(const leaf_ptr& leaf, base::caller_id caller,
                                        std::size_t shard, context& ctx);
 
-/// @return The most recently used idle connection to the leaf, if there is one.
-std::optional<base::connection_id> find_idle(const leaf_state& leaf);
+/// @return The most recently used idle connection to the leaf that has not carried the
+/// request, if there is one.
+/// @param key The request's `request_key`.
+std::optional<base::connection_id> find_idle(const node_state& node,
+                                             const leaf_state& leaf, std::uint64_t key);
+
+/// Whether a request can be sent to the leaf now: on an idle connection, on a new one,
+/// or on a new one in place of an idle one that has carried it.
+/// @param key The request's `request_key`.
+bool can_send_now(const node_state& node, const leaf_state& leaf, std::uint64_t key,
+                  base::time_point now);
+
+/// Closes the connection to the leaf that was idle longest, if a new one could not be
+/// opened beside it.
+void make_room_for_connection(leaf_state& leaf, context& ctx);
+
+/// A request for which a connection is used.
+struct connection_use {
+  base::caller_id caller;
+  std::size_t shard = 0;              ///< Index of the task within the request.
+  std::uint64_t key = 0;              ///< The request's `request_key`.
+  base::time_point send_until{};      ///< Until when the request may be sent again.
+  base::duration typical_latency{0};  ///< Latency that is typical of its route.
+  base::duration late_after{0};       ///< Age from which the leaf counts as suspect.
+};
 
 /// Marks an idle connection as busy with a request.
-/// @param typical_latency Latency that is typical of the request's route.
-/// @param late_after Age of the request from which the leaf counts as suspect.
-void mark_busy(base::connection_id id, base::caller_id caller, std::size_t shard,
-               base::duration typical_latency, base::duration late_after, context& ctx);
+void mark_busy(base::connection_id id, const connection_use& use, context& ctx);
 
 /// Marks an opening or busy connection as idle.
 void mark_idle(base::connection_id id, context& ctx);
--- a/include/ibis/serving/leaf_choice.hpp
+++ b/include/ibis/serving/leaf_choice.hpp
@@ -1,7 +1,7 @@
 /// Chooses the leaf of a service that gets a request.
 #pragma once
 
-#include <cstdint>  // for uint8_t
+#include <cstdint>  // for uint8_t, uint32_t, uint64_t
 
 #include "ibis/serving/state.hpp"  // for context
 
@@ -22,6 +22,7 @@
 
 /// What a request requires of a leaf.
 struct leaf_requirements {
+  std::uint64_t key = 0;        ///< The request's `request_key`.
   std::uint32_t max_leafs = 1;  ///< How many different leafs may get the request.
   /// Set for a hedge. It goes only to a leaf with spare capacity that is neither
   /// suspect nor unreachable.
--- a/include/ibis/serving/leaf_state.hpp
+++ b/include/ibis/serving/leaf_state.hpp
@@ -61,6 +61,12 @@
 /// What a connection is being used for.
 enum class connection_phase : std::uint8_t { opening, idle, busy };
 
+/// A request that was sent on a connection.
+struct carried_request {
+  std::uint64_t key = 0;       ///< See `request_key`.
+  base::time_point expires{};  ///< When the request cannot be sent again any more.
+};
+
 /// One connection from this node to a leaf.
 struct connection_state {
   leaf_ptr leaf;
@@ -76,8 +82,17 @@
   /// Latency that is typical of the request's route.
   base::duration typical_latency{0};
   base::milliseconds idle_timeout{0};  ///< As announced by the leaf; 0 if unknown.
+  /// Requests that were sent on it. None of them is sent on it again: a late second
+  /// copy of the first answer would be taken for the answer to the second send.
+  std::vector<carried_request> carried;
 };
 
+/// @return A key by which connections remember a request, made from its id.
+std::uint64_t request_key(const std::string& request_id);
+
+/// Whether a request was sent on the connection.
+bool has_carried(const connection_state& connection, std::uint64_t key);
+
 /// Updates the leaf's slowness with the latency of an answer.
 /// @param typical_latency Latency that is typical of the request's route.
 void update_slowness(leaf_state& leaf, base::duration latency,
--- a/include/ibis/serving/state.hpp
+++ b/include/ibis/serving/state.hpp
@@ -113,6 +113,7 @@
   /// When to answer so that the client gets the answer within the route's objective.
   base::time_point objective_deadline{};
   std::vector<task_state> tasks;
+  std::uint64_t key = 0;  ///< See `request_key`.
   /// Typical latency of the route's leaf answers when the request arrived.
   base::duration typical_latency{0};
   base::duration hedge_delay{0};  ///< After which an unanswered task is late.
--- a/src/ibis/serving/attempt.cpp
+++ b/src/ibis/serving/attempt.cpp
@@ -12,13 +12,13 @@
 namespace ibis::serving {
 namespace {
 
-/// @return An open connection on which the request can be sent at once. For a request
-/// that must not be executed twice, a connection that was idle for long is not used if
-/// another can be opened.
+/// @return An open connection on which the request can be sent at once, and was not
+/// sent before. For a request that must not be executed twice, a connection that was
+/// idle for long is not used if another can be opened.
 std::optional<base::connection_id> usable_connection(const pending_request& pending,
                                                      const leaf_ptr& leaf,
                                                      context& ctx) {
-  const auto idle = find_idle(*leaf);
+  const auto idle = find_idle(ctx.node, *leaf, pending.key);
   if (!idle || pending.route->idempotent ||
       !can_open_connection(ctx.node, *leaf, ctx.now)) {
     return idle;
@@ -72,7 +72,7 @@
   const bool late = ctx.now >= pending.objective_deadline;
   const base::time_point useful_until =
       late ? pending.effective_deadline : pending.objective_deadline;
-  return {pending.route->max_leafs, is_hedge, pending.typical_latency,
+  return {pending.key, pending.route->max_leafs, is_hedge, pending.typical_latency,
           useful_until - ctx.now};
 }
 
@@ -80,7 +80,12 @@
           context& ctx) {
   task_state& task = pending.tasks[shard];
   const base::duration late_after = pending.hedge_delay;
-  mark_busy(id, pending.caller, shard, pending.typical_latency, late_after, ctx);
+  const base::time_point late_answer_limit =
+      pending.effective_deadline + ctx.node.settings.leafs.late_answer_grace;
+  mark_busy(id,
+            {pending.caller, shard, pending.key, late_answer_limit,
+             pending.typical_latency, late_after},
+            ctx);
   const connection_state& connection = ctx.node.connections.at(id);
   const leaf_state& leaf = *connection.leaf;
   if (std::find(task.tried_leafs.begin(), task.tried_leafs.end(), leaf.key) ==
@@ -94,8 +99,8 @@
       pending.effective_deadline - ctx.now);
   ctx.out.emplace_back(send_to_leaf{id, pending.request, leaf.record.id, remaining});
   ctx.add_timer(ctx.now + late_after, timer_kind::hedge, pending.caller.value, shard);
-  ctx.add_timer(pending.effective_deadline + ctx.node.settings.leafs.late_answer_grace,
-                timer_kind::late_answer_limit, id.value, connection.serial);
+  ctx.add_timer(late_answer_limit, timer_kind::late_answer_limit, id.value,
+                connection.serial);
 }
 
 void dispatch_to(pending_request& pending, std::size_t shard, const leaf_ptr& leaf,
@@ -104,6 +109,7 @@
     send(pending, shard, *id, ctx);
     return;
   }
+  make_room_for_connection(*leaf, ctx);
   ++pending.tasks[shard].opening;
   open_connection_to(leaf, pending.caller, shard, ctx);
   ctx.add_timer(ctx.now + pending.hedge_delay, timer_kind::hedge, pending.caller.value,
--- a/src/ibis/serving/connections.cpp
+++ b/src/ibis/serving/connections.cpp
@@ -165,26 +165,43 @@
   return id;
 }
 
-std::optional<base::connection_id> find_idle(const leaf_state& leaf) {
-  if (leaf.idle.empty()) {
-    return std::nullopt;
+std::optional<base::connection_id> find_idle(const node_state& node,
+                                             const leaf_state& leaf,
+                                             std::uint64_t key) {
+  const auto found = std::find_if(leaf.idle.rbegin(), leaf.idle.rend(),
+                                  [&node, key](base::connection_id id) {
+                                    return !has_carried(node.connections.at(id), key);
+                                  });
+  return found == leaf.idle.rend() ? std::nullopt : std::optional(*found);
+}
+
+bool can_send_now(const node_state& node, const leaf_state& leaf, std::uint64_t key,
+                  base::time_point now) {
+  return find_idle(node, leaf, key) || can_open_connection(node, leaf, now) ||
+         (!leaf.idle.empty() && now >= leaf.next_connect_at);
+}
+
+void make_room_for_connection(leaf_state& leaf, context& ctx) {
+  if (!leaf.idle.empty() && !can_open_connection(ctx.node, leaf, ctx.now)) {
+    close(leaf.idle.front(), ctx);
   }
-  return leaf.idle.back();
 }
 
-void mark_busy(base::connection_id id, base::caller_id caller, std::size_t shard,
-               base::duration typical_latency, base::duration late_after,
-               context& ctx) {
+void mark_busy(base::connection_id id, const connection_use& use, context& ctx) {
   connection_state& connection = ctx.node.connections.at(id);
   leaf_state& leaf = *connection.leaf;
   remove_idle(leaf, id);
   connection.phase = connection_phase::busy;
-  connection.caller = caller;
-  connection.shard = shard;
+  connection.caller = use.caller;
+  connection.shard = use.shard;
   connection.since = ctx.now;
-  connection.typical_latency = typical_latency;
+  connection.typical_latency = use.typical_latency;
   ++connection.serial;
-  leaf.running.push_back({id, ctx.now, late_after});
+  std::erase_if(connection.carried, [&ctx](const carried_request& request) {
+    return request.expires <= ctx.now;
+  });
+  connection.carried.push_back({use.key, use.send_until});
+  leaf.running.push_back({id, ctx.now, use.late_after});
 }
 
 void mark_idle(base::connection_id id, context& ctx) {
--- a/src/ibis/serving/leaf_choice.cpp
+++ b/src/ibis/serving/leaf_choice.cpp
@@ -4,7 +4,7 @@
 #include <limits>     // for numeric_limits
 
 #include "ibis/serving/concurrency_limit.hpp"  // for has_capacity
-#include "ibis/serving/connections.hpp"        // for can_open_connection
+#include "ibis/serving/connections.hpp"        // for find_idle, can_send_now
 
 namespace ibis::serving {
 namespace {
@@ -49,21 +49,22 @@
          (!is_suspect(leaf, now) && !is_unreachable(leaf, now));
 }
 
-double cost_of(const task_state& task, const leaf_state& leaf, context& ctx) {
+double cost_of(const task_state& task, const leaf_state& leaf,
+               const leaf_requirements& requirements, context& ctx) {
   const bool same_zone =
       leaf.record.availability_zone == ctx.node.settings.availability_zone;
   double cost = expected_cost(leaf, same_zone, ctx.now, ctx.node.settings.leafs);
   cost += was_tried(task, leaf) ? repeat_cost : 0.0;
-  cost += leaf.idle.empty() ? new_connection_cost : 0.0;
+  cost += find_idle(ctx.node, leaf, requirements.key) ? 0.0 : new_connection_cost;
   cost += opening_cost * static_cast<double>(leaf.opening);
   return cost + jitter * random_fraction(ctx.node);
 }
 
-bool can_take_now(const leaf_state& leaf, bool is_hedge, context& ctx) {
-  const bool capacity =
-      is_hedge ? has_spare_capacity(leaf, ctx.now) : has_capacity(leaf, ctx.now);
-  return capacity &&
-         (!leaf.idle.empty() || can_open_connection(ctx.node, leaf, ctx.now));
+bool can_take_now(const leaf_state& leaf, const leaf_requirements& requirements,
+                  context& ctx) {
+  const bool capacity = requirements.is_hedge ? has_spare_capacity(leaf, ctx.now)
+                                              : has_capacity(leaf, ctx.now);
+  return capacity && can_send_now(ctx.node, leaf, requirements.key, ctx.now);
 }
 
 bool is_too_slow(const leaf_state& leaf, const leaf_requirements& requirements,
@@ -88,12 +89,12 @@
     if (!is_allowed(task, *leaf, requirements, ctx.now)) {
       continue;
     }
-    const bool available = can_take_now(*leaf, requirements.is_hedge, ctx);
+    const bool available = can_take_now(*leaf, requirements, ctx);
     // There is no point in waiting for a leaf that cannot be reached.
     if (!available && (requirements.is_hedge || leaf->open == 0)) {
       continue;
     }
-    double cost = cost_of(task, *leaf, ctx);
+    double cost = cost_of(task, *leaf, requirements, ctx);
     cost += is_too_slow(*leaf, requirements, ctx) ? too_slow_cost : 0.0;
     cost += available ? 0.0 : busy_cost;
     if (cost < lowest_cost) {
--- a/src/ibis/serving/leaf_state.cpp
+++ b/src/ibis/serving/leaf_state.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>  // for any_of, clamp, max
 #include <cmath>      // for exp2
 
+#include "ibis/base/hash.hpp"  // for hash64
+
 namespace ibis::serving {
 namespace {
 
@@ -31,6 +33,16 @@
 
 }  // namespace
 
+std::uint64_t request_key(const std::string& request_id) {
+  return base::hash64(request_id);
+}
+
+bool has_carried(const connection_state& connection, std::uint64_t key) {
+  return std::any_of(
+      connection.carried.begin(), connection.carried.end(),
+      [key](const carried_request& request) { return request.key == key; });
+}
+
 double current_slowness(const leaf_state& leaf, base::time_point now,
                         const leaf_settings& settings) {
   const double remaining =
--- a/src/ibis/serving/pending_request.cpp
+++ b/src/ibis/serving/pending_request.cpp
@@ -199,6 +199,7 @@
 
 void start_request(pending_request&& pending, context& ctx) {
   set_latency_expectations(pending, ctx);
+  pending.key = request_key(pending.request->id);
   pending.tasks = make_tasks(pending, ctx);
   const base::caller_id caller = pending.caller;
   const auto inserted = ctx.node.pending_requests.emplace(caller, std::move(pending));
--- a/standins/serving_fleet.cpp
+++ b/standins/serving_fleet.cpp
@@ -207,7 +207,7 @@
     if (!leaf.accepts_connections) {
       break;
     }
-    connections_[id] = {name, 0};
+    connections_[id] = {name, 0, ""};
     ++open_connections;
     after(2 * one_way_delay, [this, id] {
       if (connections_.contains(id)) {
@@ -224,6 +224,7 @@
 void serving_fleet::on_send(const serving::send_to_leaf& effect) {
   leaf_connection& connection = connections_.at(effect.connection);
   ++connection.serial;
+  connection.request_in_flight = effect.request->id;
   fleet_leaf& leaf = leafs.at(connection.leaf);
   const leaf_reaction reaction = leaf.reaction(random_);
   const bool wrong_instance = leaf.instance != effect.leaf_id;
@@ -261,10 +262,38 @@
       answer->signature = connection.leaf + '/' + effect.request->id;
       answer->body = make_records(answer->signature);
     }
-    deliver_event(serving::leaf_answered{effect.connection, answer, true, {}});
+    deliver_answer(effect.connection, answer);
+    if (const auto copy_delay = leafs.at(connection.leaf).copy_delay) {
+      after(*copy_delay, [this, effect, answer] {
+        deliver_copy(effect.connection, effect.request->id, answer);
+      });
+    }
   });
 }
 
+void serving_fleet::deliver_answer(
+    base::connection_id id, const std::shared_ptr<serving::leaf_answer>& answer) {
+  connections_.at(id).request_in_flight.clear();
+  deliver_event(serving::leaf_answered{id, answer, true, {}});
+}
+
+void serving_fleet::deliver_copy(base::connection_id id, const std::string& request,
+                                 const std::shared_ptr<serving::leaf_answer>& answer) {
+  const auto found = connections_.find(id);
+  if (found == connections_.end()) {
+    return;
+  }
+  if (found->second.request_in_flight == request) {
+    deliver_answer(id, answer);
+    return;
+  }
+  if (found->second.request_in_flight.empty()) {
+    connections_.erase(found);
+    --open_connections;
+    deliver_event(serving::connection_lost{id, "unexpected bytes"});
+  }
+}
+
 void serving_fleet::on_answer(const serving::answer_caller& effect) {
   answers.push_back(
       {effect.caller, request_ids_.at(effect.caller), effect.answer, now_});
--- a/standins/serving_fleet.hpp
+++ b/standins/serving_fleet.hpp
@@ -31,6 +31,8 @@
   std::function<base::duration(std::mt19937_64&)> service_time;
   std::function<leaf_reaction(std::mt19937_64&)> reaction;
   bool accepts_connections = true;
+  /// If set, the leaf sends each answer a second time, this long after the first.
+  std::optional<base::duration> copy_delay;
   base::time_point paused_until{};  ///< Requests do not start to run earlier.
   std::string
       instance;  ///< Id of the leaf that listens at its address; usually its own.
@@ -129,6 +131,7 @@
   struct leaf_connection {
     std::string leaf;
     std::uint64_t serial = 0;
+    std::string request_in_flight;  ///< Id of the unanswered request; empty if none.
   };
   /// The last list or watch call of a topic.
   struct pending_call {
@@ -143,6 +146,12 @@
   void carry_out(const serving::effects& effects);
   void on_open(const serving::open_connection& effect);
   void on_send(const serving::send_to_leaf& effect);
+  void deliver_answer(base::connection_id id,
+                      const std::shared_ptr<serving::leaf_answer>& answer);
+  /// Delivers a late second copy of an answer. As on a real connection, it answers the
+  /// request in flight if that has the same id, and is unexpected if there is none.
+  void deliver_copy(base::connection_id id, const std::string& request,
+                    const std::shared_ptr<serving::leaf_answer>& answer);
   void on_answer(const serving::answer_caller& effect);
   void on_store_call(serving::store_topic topic, bool listing, std::uint64_t revision);
   void end_watch_after(serving::store_topic topic, base::milliseconds wait);
