Ids of calls to other nodes differ between the starts of a node

Found on a related path of the late copies: an answer matched by an id that is not one send's own. A holder that has not noticed a node's loss of power replies to its old calls on the new connection; ids began at 1 in each process, so the reply was taken for another call's, and a client got parts of another request.

Ruled out: SIGTERM and SIGKILL, which end the connections. Ids and serials now start at a number made from the process's random seed.

--- a/src/ibis/serving/node.cpp
+++ b/src/ibis/serving/node.cpp
@@ -214,6 +214,13 @@
   }
 };
 
+/// @return Where the ids of a process start, so that they differ from those of other
+/// processes. The highest bit stays free.
+std::uint64_t first_id(std::uint32_t random_seed) {
+  constexpr unsigned shift = 31;
+  return std::uint64_t{random_seed} << shift;
+}
+
 }  // namespace
 
 double random_fraction(node_state& node) {
@@ -225,6 +232,11 @@
   node_state node;
   node.settings = settings;
   node.random.seed(random_seed);
+  // Other nodes may still reply to calls from before this process started.
+  node.last_id = first_id(random_seed);
+  for (topic_state& topic : node.topics) {
+    topic.call_serial = node.last_id;
+  }
   return node;
 }
 
--- a/standins/holder_fleet.cpp
+++ b/standins/holder_fleet.cpp
@@ -25,8 +25,7 @@
                             serving::node_settings settings) {
   settings.node = name;
   settings.availability_zone = zone;
-  nodes[name].state =
-      serving::make_node(settings, static_cast<std::uint32_t>(nodes.size()) + 1);
+  nodes[name].state = serving::make_node(settings, ++started_nodes_);
 }
 
 void holder_fleet::add_leaf(const std::string& id, const std::string& service,
@@ -59,7 +58,7 @@
   configuration_ = std::make_shared<const serving::catalog>(std::move(catalog));
 }
 
-void holder_fleet::start() {
+void holder_fleet::start_node(const std::string& name) {
   serving::topic_listed configuration;
   configuration.revision = 1;
   configuration.configuration = configuration_;
@@ -69,24 +68,35 @@
   for (const auto& [id, leaf] : leafs) {
     listing.leafs.push_back({id, leaf.record});
   }
-  for (auto& [name, node] : nodes) {
-    carry_out(name, serving::start(node.state, now_));
-    serving::nodes_counted counted;
-    counted.count = nodes.size();
-    counted.self = true;
-    for (const auto& [other, state] : nodes) {
-      if (other != name) {
-        counted.peers.push_back(
-            {other, other + ":1", state.state.settings.availability_zone});
-      }
+  carry_out(name, serving::start(nodes.at(name).state, now_));
+  serving::nodes_counted counted;
+  counted.count = nodes.size();
+  counted.self = true;
+  for (const auto& [other, state] : nodes) {
+    if (other != name) {
+      counted.peers.push_back(
+          {other, other + ":1", state.state.settings.availability_zone});
     }
-    deliver_event(name, counted);
-    deliver_event(name, configuration);
-    deliver_event(name, listing);
+  }
+  deliver_event(name, counted);
+  deliver_event(name, configuration);
+  deliver_event(name, listing);
+}
+
+void holder_fleet::start() {
+  for (const auto& [name, node] : nodes) {
+    start_node(name);
   }
   run_for(warm_up_time);
 }
 
+void holder_fleet::restart(const std::string& node) {
+  close_connections_of(node);
+  serving::node_state& state = nodes.at(node).state;
+  state = serving::make_node(serving::node_settings(state.settings), ++started_nodes_);
+  start_node(node);
+}
+
 base::caller_id holder_fleet::send_request(const std::string& node,
                                            const std::string& request_id,
                                            const std::string& target) {
@@ -109,8 +119,7 @@
   deliver_event(node, serving::stop_requested{});
 }
 
-void holder_fleet::kill(const std::string& node) {
-  nodes.at(node).alive = false;
+void holder_fleet::close_connections_of(const std::string& node) {
   std::vector<connection_key> lost;
   for (const auto& [key, connection] : connections_) {
     if (key.first == node) {
@@ -120,6 +129,11 @@
   for (const connection_key& key : lost) {
     close(key);
   }
+}
+
+void holder_fleet::kill(const std::string& node) {
+  nodes.at(node).alive = false;
+  close_connections_of(node);
   for (const auto& [other, state] : nodes) {
     after(peer_delay, [this, other = other, node] {
       deliver_event(other, serving::peer_lost{node});
--- a/standins/holder_fleet.hpp
+++ b/standins/holder_fleet.hpp
@@ -65,6 +65,9 @@
   void disconnect_caller(const std::string& node, base::caller_id caller);
   /// Requests a graceful stop of a node.
   void stop(const std::string& node);
+  /// Starts a node again after a loss of power, which the others do not notice: they
+  /// still reply to its earlier calls. It knows the leafs at once.
+  void restart(const std::string& node);
   /// Kills a node: its connections are reset.
   void kill(const std::string& node);
   void run_for(base::duration time);
@@ -90,6 +93,9 @@
   };
   using connection_key = std::pair<std::string, base::connection_id>;
 
+  void start_node(const std::string& name);
+  /// Closes all connections of a node to leafs.
+  void close_connections_of(const std::string& node);
   void after(base::duration delay, std::function<void()> action);
   void deliver_event(const std::string& node, const serving::event& event);
   void carry_out(const std::string& node, const serving::effects& effects);
@@ -106,6 +112,7 @@
                const serving::event& event);
 
   std::mt19937_64 random_;
+  std::uint32_t started_nodes_ = 0;  ///< Including restarts.
   std::uint32_t connection_limit_;
   base::time_point now_{std::chrono::hours(1)};
   virtual_queue queue_;
--- a/tests/serving_holders_test.cpp
+++ b/tests/serving_holders_test.cpp
@@ -317,5 +317,44 @@
   }
 }
 
+/// Sends some requests to a node, one a millisecond.
+std::vector<base::caller_id> send_series(holder_fleet& fleet, const std::string& node,
+                                         const std::string& prefix) {
+  constexpr int count = 30;
+  std::vector<base::caller_id> callers;
+  for (int i = 0; i < count; ++i) {
+    callers.push_back(fleet.send_request(node, prefix + std::to_string(i), "/q/"));
+    fleet.run_for(milliseconds(1));
+  }
+  return callers;
+}
+
+// Guards against a node that lost power and starts again: a holder that did not notice
+// replies to a call from before, and the new process has a call with the same id.
+TEST_CASE("A reply to a call from before a restart is not used for another call") {
+  holder_fleet fleet(8, 40);
+  populate(fleet);
+  const std::string asking = node_name(2, 3);
+  for (auto& [id, leaf] : fleet.leafs) {
+    leaf.paused_until = fleet.now() + milliseconds(90);
+  }
+  fleet.restart(asking);
+  send_series(fleet, asking, "old");
+  fleet.restart(asking);
+  const std::vector<base::caller_id> callers = send_series(fleet, asking, "new");
+  fleet.run_for(seconds(2));
+  std::size_t merged = 0;
+  for (const base::caller_id caller : callers) {
+    const standins::client_answer* found = fleet.find_answer(caller);
+    REQUIRE(found != nullptr);
+    INFO(found->request);
+    merged += found->answer.missing_shards ? 1 : 0;
+    for (const std::string& signature : found->answer.signatures) {
+      CHECK(signature.substr(signature.find('/') + 1) == found->request);
+    }
+  }
+  CHECK(merged > 0);
+}
+
 }  // namespace
 }  // namespace ibis::tests
