An answer without an id ends a connection whose earlier answers had one

Related path of the late copies: an answer that states no id matched any request, so a late copy without one would be taken for the next answer. Of a leaf that never states ids, answers count as before.

--- a/include/ibis/reactor/leaf_connection.hpp
+++ b/include/ibis/reactor/leaf_connection.hpp
@@ -19,7 +19,8 @@
 using event_callback = std::function<void(serving::event)>;
 
 /// A TCP connection that carries one HTTP request at a time. A response that states the
-/// id of another request is discarded.
+/// id of another request is discarded. One that states none, on a connection whose
+/// earlier responses did, ends the connection: it may be a late copy of any of them.
 class leaf_connection : public std::enable_shared_from_this<leaf_connection> {
  public:
   /// @param platform_protocol Must outlive the connection.
@@ -47,6 +48,8 @@
   /// Reports the response if it belongs to the current request.
   /// @return Whether it did.
   bool deliver_response(http::response&& value);
+  /// Whether the response states no request although this leaf's responses do.
+  [[nodiscard]] bool lacks_id(const leaf_response& decoded) const;
   void write();
   void on_writable(const asio::error_code& ec);
   void close_and_report_lost(const std::string& detail);
@@ -63,6 +66,7 @@
   bool closed_ = false;
   bool awaiting_response_ = false;
   bool for_head_request_ = false;
+  bool states_ids_ = false;  ///< An earlier response stated its request's id.
   std::string request_id_;
   std::optional<http::response_parser> parser_;
 };
--- a/include/ibis/serving/node.hpp
+++ b/include/ibis/serving/node.hpp
@@ -15,8 +15,9 @@
 namespace ibis::serving {
 
 /// Creates the state of a node whose process has just started.
-/// @param random_seed Must differ between nodes, so that they do not act in lockstep, and
-/// between the starts of a node, so that its calls to other nodes have different ids.
+/// @param random_seed Must differ between nodes, so that they do not act in lockstep,
+/// and between the starts of a node, so that its calls to other nodes have different
+/// ids.
 node_state make_node(const node_settings& settings, std::uint32_t random_seed);
 
 /// Starts a node's timers and begins to follow the store. Must be called exactly once.
--- a/src/ibis/reactor/leaf_connection.cpp
+++ b/src/ibis/reactor/leaf_connection.cpp
@@ -165,9 +165,18 @@
   input_.erase(0, consumed_bytes);
 }
 
+bool leaf_connection::lacks_id(const leaf_response& decoded) const {
+  return states_ids_ && decoded.request_id.empty();
+}
+
 bool leaf_connection::deliver_response(http::response&& value) {
   const bool keep_alive = value.keep_alive;
   leaf_response decoded = protocol_.decode_leaf_response(std::move(value));
+  if (lacks_id(decoded)) {
+    close_and_report_lost("response without the request's id");
+    return true;
+  }
+  states_ids_ = states_ids_ || !decoded.request_id.empty();
   if (!decoded.request_id.empty() && decoded.request_id != request_id_) {
     return false;
   }
--- a/src/ibis/reactor/leaf_connection_test.cpp
+++ b/src/ibis/reactor/leaf_connection_test.cpp
@@ -201,6 +201,19 @@
   CHECK(result.bodies == std::vector<std::string>{"first"});
 }
 
+// Guards against a late copy that states no id and is taken for the next answer.
+TEST_CASE("An answer without an id is lost if earlier answers of its leaf had one") {
+  const std::string without_id = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx";
+  const session_result mixed =
+      run_session({make_answer("r1", "first"), without_id}, leaf_end::keep_open, 2);
+  CHECK(mixed.bodies == std::vector<std::string>{"first"});
+  CHECK(mixed.lost);
+  // Of a leaf that states no ids, each answer counts.
+  const session_result none =
+      run_session({without_id, without_id}, leaf_end::keep_open, 2);
+  CHECK(none.bodies == std::vector<std::string>{"x", "x"});
+}
+
 TEST_CASE("An answer that breaks off is lost, not complete") {
   const std::string head = "HTTP/1.1 200 OK\r\nAnswer-To: r1\r\n";
   const std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
