A listing of several pages is watched from its oldest page's revision

Cause: the first listing after a start may be stale, and each page has an age of its own. The watch began at the first page's revision; the second page was 2.5 s older and still had the leaf, so its removal was in no page and in no change. Probes compare the store's revision with the first page's and find nothing. Ruled out: removals held as possible expiries, peers.

The least revision of all pages is kept; changes that are repeated are applied in order, the last one of each leaf. The new test failed before (watched from 20, expected 12).

--- a/include/ibis/serving/state.hpp
+++ b/include/ibis/serving/state.hpp
@@ -186,7 +186,7 @@
   bool paused = false;    ///< It is between two calls, until a timer fires.
   bool checking = false;  ///< The current call checks whether a watch missed changes.
   std::vector<leaf_change> pages;  ///< Entries of an incomplete listing.
-  /// Revision of the first page of the listing. Later pages may be newer.
+  /// Oldest revision of the pages of an incomplete listing.
   std::optional<std::uint64_t> listing_revision;
   base::time_point listing_started_at{};
   std::string source;  ///< Name of the peer queried; empty for the store.
--- a/src/ibis/serving/store_follower.cpp
+++ b/src/ibis/serving/store_follower.cpp
@@ -175,8 +175,10 @@
   topic_state& state = state_of(event.topic, ctx);
   record_success(event.topic, ctx);
   apply_catalog(event.configuration, ctx);
-  // Changes between two pages are repeated by a watch from the first page's revision.
-  const std::uint64_t revision = state.listing_revision.value_or(event.revision);
+  // Pages differ in age, either way if they may be stale. A watch from the oldest one's
+  // revision repeats all changes that any of them lacks.
+  const std::uint64_t revision =
+      std::min(state.listing_revision.value_or(event.revision), event.revision);
   state.listing_revision = revision;
   state.pages.insert(state.pages.end(), event.leafs.begin(), event.leafs.end());
   if (!event.next_page_after.empty()) {
--- a/src/ibis/serving/store_follower_test.cpp
+++ b/src/ibis/serving/store_follower_test.cpp
@@ -63,6 +63,23 @@
   CHECK(watch->revision == 10);
 }
 
+// Guards against a leaf that has left and is used until it ends: a later page of a
+// stale listing still has it, and a watch from the first page's revision misses its
+// removal.
+TEST_CASE("Leafs are watched from the oldest revision of a listing's pages") {
+  node_state node = make_node({}, 1);
+  start(node, start_time);
+  reduce(node, make_page(20, "a", "a"), start_time);
+  reduce(node, make_page(12, "b", "b"), start_time);
+  const effects out = reduce(node, make_page(20, "c", ""), start_time);
+  const watch_topic* watch = find_watch(out);
+  REQUIRE(watch != nullptr);
+  CHECK(watch->revision == 12);
+  reduce(node, topic_changed{store_topic::leafs, 21, {{"b", std::nullopt}}, {}, {}},
+         start_time);
+  CHECK_FALSE(node.leafs.contains("b"));
+}
+
 TEST_CASE("Of several changes of a leaf in one answer only the last one is applied") {
   node_state node = make_node({}, 1);
   start(node, start_time);
