A node's record that a count lacks is written again

A node that starts again within seconds of its stop may find its record, which it has removed, in the first count. It then never wrote one, so no other node counted it, and budgets and connection limits were worked out for too few. The same held when the store refused the write; that is now logged.

A record that a count lacks is written unless it was written in the last 5 s.

--- a/include/ibis/reactor/store_client.hpp
+++ b/include/ibis/reactor/store_client.hpp
@@ -44,6 +44,7 @@
 
  private:
   void call(serving::store_topic topic, bool listing, const http::request& request);
+  void log_refusal(const char* step, unsigned status);
   void log_failure(const char* step, const base::error& error);
 
   const protocol& protocol_;  // NOLINT(*-avoid-const-or-ref-data-members)
--- a/include/ibis/serving/state.hpp
+++ b/include/ibis/serving/state.hpp
@@ -260,7 +260,8 @@
   std::unordered_map<base::block_call_id, shard_call> shard_calls;
   /// Requests of other nodes, by the node's name and its call.
   std::map<std::pair<std::string, base::block_call_id>, base::caller_id> remote_callers;
-  bool registered = false;  ///< This node wrote its record or found it.
+  /// When this node last wrote its record; nothing if it never did.
+  std::optional<base::time_point> registered_at;
   stop_state stop;
   base::basic_timer_queue<timer_kind> timers;
   std::minstd_rand random;
--- a/src/ibis/reactor/store_client.cpp
+++ b/src/ibis/reactor/store_client.cpp
@@ -5,6 +5,17 @@
 #include "ibis/reactor/node_log.hpp"  // for write_log
 
 namespace ibis::reactor {
+namespace {
+
+constexpr unsigned status_conflict = 409;
+
+/// Whether the store did not write a record. A conflict means that it exists.
+bool is_refusal(unsigned status) {
+  return status / 100 != 2 && status != status_conflict;
+}
+
+}  // namespace
+
 store_client::store_client(asio::io_context& io, const asio::ip::tcp::endpoint& peer,
                            const protocol& platform_protocol, event_callback on_event)
     : protocol_(platform_protocol),
@@ -53,12 +64,20 @@
              {{"step", step}, {"detail", base::describe(error)}}});
 }
 
+void store_client::log_refusal(const char* step, unsigned status) {
+  write_log({"store_record_call_refused",
+             true,
+             {{"step", step}, {"status", std::to_string(status)}}});
+}
+
 void store_client::register_node(const std::string& peer_address) {
   node_record_client_->call(protocol_.make_register_request(peer_address),
                             runtime::http_client::retry_mode::on_closed_connection,
                             [this](const base::result<http::response>& response) {
                               if (!response) {
                                 log_failure("register", response.error());
+                              } else if (is_refusal(response.value().status)) {
+                                log_refusal("register", response.value().status);
                               }
                             });
 }
--- a/src/ibis/serving/node.cpp
+++ b/src/ibis/serving/node.cpp
@@ -1,7 +1,8 @@
 #include "ibis/serving/node.hpp"
 
-#include <variant>  // for visit
-#include <vector>   // for vector
+#include <optional>  // for optional
+#include <variant>   // for visit
+#include <vector>    // for vector
 
 #include "ibis/serving/attempt.hpp"             // for find_pending_request
 #include "ibis/serving/connections.hpp"         // for maintain_connections
@@ -91,6 +92,19 @@
                 timer_kind::count_nodes);
 }
 
+/// Writes this node's record, which was not in a count, unless the count may be older
+/// than the record.
+void ensure_registered(context& ctx) {
+  constexpr base::milliseconds max_count_age{5000};
+  const std::optional<base::time_point>& written_at = ctx.node.registered_at;
+  const bool may_exist = written_at && ctx.now - *written_at < max_count_age;
+  if (may_exist || ctx.node.stop.requested) {
+    return;
+  }
+  ctx.node.registered_at = ctx.now;
+  ctx.out.emplace_back(register_node{});
+}
+
 void on_nodes_counted(const nodes_counted& event, context& ctx) {
   // The store may have counted from a copy that is older than this node's record.
   const std::size_t others = event.self ? event.count - 1 : event.count;
@@ -102,10 +116,9 @@
   std::erase_if(ctx.node.holder_health, [&ctx, forget_after](const auto& entry) {
     return entry.second.avoid_until + forget_after <= ctx.now;
   });
-  if (!event.self && !ctx.node.registered && !ctx.node.stop.requested) {
-    ctx.out.emplace_back(register_node{});
+  if (!event.self) {
+    ensure_registered(ctx);
   }
-  ctx.node.registered = true;
   update_holders(ctx);
 }
 
