A leaf that says in an answer that it leaves gets no new requests

Cause: the notice was not read; leaving leafs were known from the store and from peers alone. Ruled out: the age of the view, which was within its bound.

The notice marks the leaf's incarnation (id and start time); no record undoes it. It counts in all answers, also in refusals, late ones, at a hedge's loser and in those that break off after their head. Holders add it to their replies for shards. Leafs that drain by their record are no longer named to holders, and a connection that was being opened to one carries no request.

--- a/include/ibis/http/parser.hpp
+++ b/include/ibis/http/parser.hpp
@@ -77,10 +77,13 @@
   /// @return Whether the response is complete: one without a length ends there, while
   /// one that is shorter than its stated length is truncated.
   bool finish();
+  /// Whether the status line and all header fields were parsed.
+  [[nodiscard]] bool header_complete() const;
   /// Whether any byte of the response was parsed.
   [[nodiscard]] bool started() const;
   /// Moves the response out of the parser. Call it once, after `feed` returned
-  /// `complete` or `finish` returned true.
+  /// `complete` or `finish` returned true; or, for the head of a response that broke
+  /// off, once `header_complete` is true.
   response take();
 
  private:
--- a/include/ibis/reactor/leaf_connection.hpp
+++ b/include/ibis/reactor/leaf_connection.hpp
@@ -53,6 +53,9 @@
   void write();
   void on_writable(const asio::error_code& ec);
   void close_and_report_lost(const std::string& detail);
+  /// Whether the current response broke off after a head that says that the leaf
+  /// leaves.
+  [[nodiscard]] bool broken_response_says_leaving();
 
   asio::ip::tcp::socket socket_;
   base::connection_id id_;
--- a/include/ibis/serving/event.hpp
+++ b/include/ibis/serving/event.hpp
@@ -49,6 +49,8 @@
 struct connection_lost {
   base::connection_id connection;
   std::string detail;
+  /// The answer broke off, and its head says that the leaf leaves.
+  bool leaf_leaving = false;
 };
 
 /// A leaf's answer to a request.
@@ -57,6 +59,7 @@
   std::string signature;      ///< Set by the leaf on this answer; may be empty.
   bool not_executed = false;  ///< The leaf states that it did not execute the request.
   bool instance_mismatch = false;  ///< Another leaf uses the address now.
+  bool leaf_leaving = false;       ///< The leaf says that it leaves.
   http::header_fields fields;      ///< Fields to forward to the client.
   std::string body;
 };
--- a/include/ibis/serving/leaf_state.hpp
+++ b/include/ibis/serving/leaf_state.hpp
@@ -36,6 +36,8 @@
   base::time_point remove_at{};    ///< When a leaf with an expired record is removed.
   base::time_point joined_at{};    ///< When this node learned of it.
   bool instance_mismatch = false;  ///< A different leaf answered at its address.
+  /// It has said that it leaves, whatever its record says.
+  bool leaving = false;
 
   std::vector<base::connection_id> idle;  ///< Sorted by last use, oldest first.
   std::size_t open = 0;                   ///< Number of idle and busy connections.
@@ -93,6 +95,9 @@
 /// Whether a request was sent on the connection.
 bool has_carried(const connection_state& connection, std::uint64_t key);
 
+/// Whether the leaf may get new requests.
+bool takes_new_work(const leaf_state& leaf);
+
 /// Updates the leaf's slowness with the latency of an answer.
 /// @param typical_latency Latency that is typical of the request's route.
 void update_slowness(leaf_state& leaf, base::duration latency,
--- a/include/ibis/serving/leaf_subset.hpp
+++ b/include/ibis/serving/leaf_subset.hpp
@@ -25,8 +25,9 @@
 /// @return A short name of a leaf, the same on all nodes.
 std::uint32_t leaf_tag(const std::string& leaf);
 
-/// Chooses the leafs that may get a request: those in the node's own availability zone
-/// first, then by a hash that spreads requests over them.
+/// Chooses the leafs that may get a request, among those that take new work: those in
+/// the node's own availability zone first, then by a hash that spreads requests over
+/// them.
 /// @param request Id of the request.
 /// @param zone The node's availability zone.
 /// @param count How many leafs to choose at most.
--- a/include/ibis/serving/state.hpp
+++ b/include/ibis/serving/state.hpp
@@ -149,6 +149,13 @@
   base::time_point held_until{};
 };
 
+/// What is remembered of a leaf that has said that it leaves, also after its record was
+/// removed: the record may come back.
+struct leaving_notice {
+  base::milliseconds started_at{0};  ///< Identifies the leaf's start.
+  base::time_point noticed_at{};
+};
+
 /// Measurements of a route.
 struct route_statistics {
   policy::latency_window part_latency;  ///< Latency of successful leaf answers.
@@ -242,6 +249,7 @@
   catalog_ptr configuration;
   std::unordered_map<std::string, service_state> services;
   std::unordered_map<std::string, leaf_ptr> leafs;  ///< By id; without removed ones.
+  std::unordered_map<std::string, leaving_notice> leaving_notices;  ///< By leaf id.
   std::unordered_map<base::connection_id, connection_state> connections;
   std::unordered_map<base::caller_id, pending_request> pending_requests;
   std::unordered_map<std::string, route_statistics> statistics;  ///< By route name.
--- a/include/ibis/wire/messages.hpp
+++ b/include/ibis/wire/messages.hpp
@@ -259,6 +259,13 @@
   bool operator==(const failed_shard&) const = default;
 };
 
+/// A leaf that has said that it leaves.
+struct leaving_leaf {
+  std::string leaf;                  ///< Its id.
+  base::milliseconds started_at{0};  ///< Since the Unix epoch; identifies its start.
+  bool operator==(const leaving_leaf&) const = default;
+};
+
 /// Replies to a `shards_request`. Each reply has only what the earlier ones had not.
 struct shards_reply {
   base::block_call_id call;
@@ -267,6 +274,8 @@
   std::vector<covered_shard> covered;
   std::vector<failed_shard> failed;
   std::string records;  ///< The greatest records of the covered shards, merged.
+  /// All leafs of the requested shards that have told the sender that they leave.
+  std::vector<leaving_leaf> leaving_leafs;
   bool operator==(const shards_reply&) const = default;
 };
 
--- a/src/ibis/http/parser.cpp
+++ b/src/ibis/http/parser.cpp
@@ -160,6 +160,10 @@
   return !ec && parser_->beast_parser.is_done();
 }
 
+bool response_parser::header_complete() const {
+  return parser_->beast_parser.is_header_done();
+}
+
 bool response_parser::started() const {
   return parser_->beast_parser.got_some();
 }
--- a/src/ibis/reactor/leaf_connection.cpp
+++ b/src/ibis/reactor/leaf_connection.cpp
@@ -190,9 +190,18 @@
   return true;
 }
 
+bool leaf_connection::broken_response_says_leaving() {
+  if (!awaiting_response_ || !parser_->header_complete()) {
+    return false;
+  }
+  const leaf_response decoded = protocol_.decode_leaf_response(parser_->take());
+  return decoded.answer.leaf_leaving && decoded.request_id == request_id_;
+}
+
 void leaf_connection::close_and_report_lost(const std::string& detail) {
+  const bool leaf_leaving = broken_response_says_leaving();
   close();
-  on_event_(serving::connection_lost{id_, detail});
+  on_event_(serving::connection_lost{id_, detail, leaf_leaving});
 }
 
 void leaf_connection::close() {
--- a/src/ibis/reactor/leaf_connection_test.cpp
+++ b/src/ibis/reactor/leaf_connection_test.cpp
@@ -27,6 +27,8 @@
     decoded.answer.body = std::move(response.body);
     const auto id = http::find_field(response.fields, "Answer-To");
     decoded.request_id = id ? std::string(*id) : "";
+    decoded.answer.leaf_leaving =
+        http::find_field(response.fields, "Leaving").has_value();
     return decoded;
   };
   return value;
@@ -141,6 +143,7 @@
 struct session_result {
   std::vector<std::string> bodies;  ///< Of the answers, in order.
   bool lost = false;
+  bool leaf_leaving = false;  ///< Stated when the connection was lost.
 };
 
 /// Sends requests with the ids "r1", "r2", ... to a leaf, each after the answer to the
@@ -171,8 +174,9 @@
         } else if (const auto* answered = std::get_if<serving::leaf_answered>(&event)) {
           result.bodies.push_back(answered->answer->body);
           send_next();
-        } else if (std::holds_alternative<serving::connection_lost>(event)) {
+        } else if (const auto* lost = std::get_if<serving::connection_lost>(&event)) {
           result.lost = true;
+          result.leaf_leaving = lost->leaf_leaving;
           io.stop();
         }
       });
@@ -253,6 +257,24 @@
   CHECK(result.bodies == std::vector<std::string>{"whole"});
 }
 
+TEST_CASE("An answer that breaks off after its head still says that its leaf leaves") {
+  const std::string length = "Content-Length: 9\r\n\r\nhalf";
+  const std::string head = "HTTP/1.1 200 OK\r\nAnswer-To: r1\r\n";
+  const std::string notice = "Leaving: 1\r\n";
+  const auto says_leaving = [](const std::string& text, leaf_end end) {
+    const session_result result = run_session({text}, end, 1);
+    CHECK(result.lost);
+    return result.leaf_leaving;
+  };
+  CHECK(says_leaving(head + notice + length, leaf_end::close));
+  CHECK(says_leaving(head + notice + length, leaf_end::reset));
+  CHECK_FALSE(says_leaving(head + length, leaf_end::close));
+  CHECK_FALSE(says_leaving(head + notice, leaf_end::close));
+  // A late copy of another answer says nothing for certain.
+  CHECK_FALSE(says_leaving("HTTP/1.1 200 OK\r\nAnswer-To: r0\r\n" + notice + length,
+                           leaf_end::close));
+}
+
 struct endless_case {
   const char* name;
   std::string head;
--- a/src/ibis/serving/connections.cpp
+++ b/src/ibis/serving/connections.cpp
@@ -85,20 +85,17 @@
   return leaf.open + leaf.opening > 0;
 }
 
-bool is_usable(const leaf_state& leaf) {
-  return !leaf.record.draining && !leaf.instance_mismatch;
-}
-
 /// @return How many more leafs of a service should be connected ahead of need.
 std::size_t missing_warm_leafs(const node_state& node, const std::string& name,
                                const service_state& service, base::time_point now) {
   const std::size_t wanted = connection_quota_of(node, name, now).warm_leafs;
   const auto usable = static_cast<std::size_t>(
       std::count_if(service.leafs.begin(), service.leafs.end(),
-                    [](const leaf_ptr& leaf) { return is_usable(*leaf); }));
+                    [](const leaf_ptr& leaf) { return takes_new_work(*leaf); }));
   const auto connected = static_cast<std::size_t>(std::count_if(
-      service.leafs.begin(), service.leafs.end(),
-      [](const leaf_ptr& leaf) { return is_usable(*leaf) && is_connected(*leaf); }));
+      service.leafs.begin(), service.leafs.end(), [](const leaf_ptr& leaf) {
+        return takes_new_work(*leaf) && is_connected(*leaf);
+      }));
   const std::size_t target = std::min(wanted, usable);
   return target > connected ? target - connected : 0;
 }
@@ -109,7 +106,7 @@
   leaf_ptr best;
   double lowest_cost = std::numeric_limits<double>::max();
   for (const leaf_ptr& leaf : service.leafs) {
-    if (is_connected(*leaf) || !is_usable(*leaf) ||
+    if (is_connected(*leaf) || !takes_new_work(*leaf) ||
         !can_open_connection(ctx.node, *leaf, ctx.now)) {
       continue;
     }
@@ -280,7 +277,7 @@
         const service_state& service = entry.second;
         const bool reachable = std::any_of(
             service.leafs.begin(), service.leafs.end(), [](const leaf_ptr& leaf) {
-              return leaf->connect_failures == 0 && !leaf->record.draining;
+              return leaf->connect_failures == 0 && takes_new_work(*leaf);
             });
         return !reachable || missing_warm_leafs(node, entry.first, service, now) == 0;
       });
--- a/src/ibis/serving/leaf_choice.cpp
+++ b/src/ibis/serving/leaf_choice.cpp
@@ -35,7 +35,7 @@
 
 bool is_allowed(const task_state& task, const leaf_state& leaf,
                 const leaf_requirements& requirements, base::time_point now) {
-  if (leaf.instance_mismatch || leaf.record.draining || !is_in_subset(task, leaf)) {
+  if (!takes_new_work(leaf) || !is_in_subset(task, leaf)) {
     return false;
   }
   const bool tried = was_tried(task, leaf);
--- a/src/ibis/serving/leaf_events.cpp
+++ b/src/ibis/serving/leaf_events.cpp
@@ -6,6 +6,7 @@
 #include "ibis/serving/attempt.hpp"            // for on_attempt_failed, answer_if_ready
 #include "ibis/serving/concurrency_limit.hpp"  // for update_concurrency_limit
 #include "ibis/serving/connections.hpp"  // for close, remove_connection, mark_idle
+#include "ibis/serving/registry.hpp"     // for mark_leaving
 #include "ibis/serving/request_completion.hpp"  // for forward_leaf_answer
 #include "ibis/serving/waiting_tasks.hpp"       // for dispatch_waiting_tasks
 
@@ -182,12 +183,14 @@
   }
   const connection_state connection = found->second;
   leaf_state& leaf = *connection.leaf;
+  const bool usable = takes_new_work(leaf);
   mark_idle(id, ctx);
+  if (!usable) {
+    close(id, ctx);
+  }
   if (pending_request* pending = find_pending_request(connection.caller, ctx)) {
     task_state& task = pending->tasks[connection.shard];
     --task.opening;
-    const bool usable =
-        !leaf.instance_mismatch && leaf.registration != leaf_registration::removed;
     if (usable && still_needs_connection(*pending, task)) {
       send(*pending, connection.shard, id, ctx);
     } else {
@@ -219,6 +222,9 @@
   if (!connection->has_answered && !idled_out) {
     back_off(*connection->leaf, event.detail, ctx);
   }
+  if (event.leaf_leaving) {
+    mark_leaving(connection->leaf, ctx);
+  }
   if (connection->phase != connection_phase::busy) {
     return;
   }
@@ -238,8 +244,10 @@
   if (event.idle_timeout) {
     found->second.idle_timeout = *event.idle_timeout;
   }
-  const bool keep =
-      event.reusable && connection.leaf->registration != leaf_registration::removed;
+  if (event.answer->leaf_leaving) {
+    mark_leaving(connection.leaf, ctx);
+  }
+  const bool keep = event.reusable && takes_new_work(*connection.leaf);
   if (keep) {
     mark_idle(event.connection, ctx);
   } else {
--- a/src/ibis/serving/leaf_state.cpp
+++ b/src/ibis/serving/leaf_state.cpp
@@ -43,6 +43,11 @@
       [key](const carried_request& request) { return request.key == key; });
 }
 
+bool takes_new_work(const leaf_state& leaf) {
+  return !leaf.record.draining && !leaf.leaving && !leaf.instance_mismatch &&
+         leaf.registration != leaf_registration::removed;
+}
+
 double current_slowness(const leaf_state& leaf, base::time_point now,
                         const leaf_settings& settings) {
   const double remaining =
--- a/src/ibis/serving/leaf_subset.cpp
+++ b/src/ibis/serving/leaf_subset.cpp
@@ -21,6 +21,9 @@
   ranked.reserve(leafs.size());
   for (std::size_t i = 0; i < leafs.size(); ++i) {
     const leaf_state& leaf = *leafs[i];
+    if (!takes_new_work(leaf)) {
+      continue;
+    }
     ranked.emplace_back(now - leaf.joined_at < new_leaf_age,
                         leaf.record.availability_zone != zone,
                         base::hash64(request + ' ' + leaf.record.id), i);
--- a/src/ibis/serving/node.cpp
+++ b/src/ibis/serving/node.cpp
@@ -119,6 +119,7 @@
   if (!event.self) {
     ensure_registered(ctx);
   }
+  forget_leaving_notices(ctx);
   update_holders(ctx);
 }
 
--- a/src/ibis/serving/registry.cpp
+++ b/src/ibis/serving/registry.cpp
@@ -42,6 +42,22 @@
   dispatch_waiting_tasks(leaf->record.service, ctx);
 }
 
+/// Remembers a leaf's notice, unless one of a later start is known.
+void remember_notice(const std::string& id, base::milliseconds started_at,
+                     context& ctx) {
+  leaving_notice& notice = ctx.node.leaving_notices[id];
+  if (notice.started_at <= started_at) {
+    notice = {started_at, ctx.now};
+  }
+}
+
+/// Whether this start of a leaf has said that it leaves. A later start has not.
+bool has_said_leaving(const leaf_record& record, context& ctx) {
+  const auto found = ctx.node.leaving_notices.find(record.id);
+  return found != ctx.node.leaving_notices.end() &&
+         found->second.started_at == record.started_at;
+}
+
 void add_leaf(const leaf_record& record, context& ctx) {
   const auto leaf = std::make_shared<leaf_state>();
   leaf->record = record;
@@ -49,6 +65,7 @@
   leaf->joined_at = ctx.now;
   leaf->concurrency_limit = ctx.node.settings.leafs.initial_limit;
   leaf->warming_until = ctx.now + record.warm_up;
+  leaf->leaving = has_said_leaving(record, ctx);
   ctx.node.leafs[record.id] = leaf;
   ctx.node.holders_outdated = true;
   ctx.node.services[record.service].leafs.push_back(leaf);
@@ -125,15 +142,17 @@
   log_leaf("leaf_record_expired", *leaf, ctx);
 }
 
-/// Handles the removal of a record. The record of a draining leaf is certainly removed
-/// for good, so that the leaf is removed at once.
+/// Handles the removal of a record. The record of a leaf that drains or leaves is
+/// certainly removed for good, so that the leaf is removed at once.
 /// @param may_be_expiry Whether the record may only have expired and come back.
 void apply_removal(const std::string& id, bool may_be_expiry, context& ctx) {
   const auto found = ctx.node.leafs.find(id);
   if (found == ctx.node.leafs.end()) {
     return;
   }
-  if (may_be_expiry && !found->second->record.draining) {
+  const leaf_state& leaf = *found->second;
+  const bool is_going = leaf.record.draining || leaf.leaving;
+  if (may_be_expiry && !is_going) {
     mark_expired(found->second, ctx);
     return;
   }
@@ -204,4 +223,36 @@
   }
 }
 
+void mark_leaving(const leaf_ptr& leaf, context& ctx) {
+  if (leaf->leaving) {
+    return;
+  }
+  leaf->leaving = true;
+  remember_notice(leaf->record.id, leaf->record.started_at, ctx);
+  log_leaf("leaf_leaving", *leaf, ctx);
+  close_idle(*leaf, ctx);
+}
+
+void on_leaving_reported(const std::string& id, base::milliseconds started_at,
+                         context& ctx) {
+  remember_notice(id, started_at, ctx);
+  const auto found = ctx.node.leafs.find(id);
+  if (found == ctx.node.leafs.end()) {
+    return;
+  }
+  const leaf_ptr leaf = found->second;
+  if (leaf->record.started_at == started_at && !leaf->leaving) {
+    mark_leaving(leaf, ctx);
+    dispatch_waiting_tasks(leaf->record.service, ctx);
+  }
+}
+
+void forget_leaving_notices(context& ctx) {
+  constexpr std::chrono::hours kept_for{1};
+  std::erase_if(ctx.node.leaving_notices, [&ctx, kept_for](const auto& entry) {
+    return !ctx.node.leafs.contains(entry.first) &&
+           ctx.now - entry.second.noticed_at >= kept_for;
+  });
+}
+
 }  // namespace ibis::serving
--- a/src/ibis/serving/shard_replies.cpp
+++ b/src/ibis/serving/shard_replies.cpp
@@ -76,6 +76,20 @@
   return task.sent > 0;
 }
 
+/// @return The leafs of the request's shards that have said that they leave.
+std::vector<wire::leaving_leaf> find_leaving_leafs(const pending_request& pending,
+                                                   context& ctx) {
+  std::vector<wire::leaving_leaf> found;
+  for (const task_state& task : pending.tasks) {
+    for (const leaf_ptr& leaf : ctx.node.services[task.service].leafs) {
+      if (leaf->leaving) {
+        found.push_back({leaf->record.id, leaf->record.started_at});
+      }
+    }
+  }
+  return found;
+}
+
 /// Collects what the node that asked does not know yet.
 /// @param final Reports undecided shards as given up.
 wire::shards_reply make_reply(pending_request& pending, bool final, context& ctx) {
@@ -101,6 +115,7 @@
     task.reported = true;
   }
   reply.records = merge_records(bodies, pending.route->top);
+  reply.leaving_leafs = find_leaving_leafs(pending, ctx);
   return reply;
 }
 
--- a/src/ibis/serving/shard_requests.cpp
+++ b/src/ibis/serving/shard_requests.cpp
@@ -5,8 +5,9 @@
 #include <memory>     // for make_shared
 #include <utility>    // for move
 
-#include "ibis/serving/attempt.hpp"  // for dispatch, give_up_task, answer_if_ready
-#include "ibis/serving/holders.hpp"  // for choose_holder, find_block
+#include "ibis/serving/attempt.hpp"   // for dispatch, give_up_task, answer_if_ready
+#include "ibis/serving/holders.hpp"   // for choose_holder, find_block
+#include "ibis/serving/registry.hpp"  // for on_leaving_reported
 
 namespace ibis::serving {
 namespace {
@@ -293,6 +294,9 @@
   } else {
     mark_holder_healthy(event.node, ctx);
   }
+  for (const wire::leaving_leaf& leaf : event.reply.leaving_leafs) {
+    on_leaving_reported(leaf.leaf, leaf.started_at, ctx);
+  }
   const auto found = ctx.node.shard_calls.find(event.reply.call);
   if (found == ctx.node.shard_calls.end() || found->second.holder.node != event.node) {
     return;
--- a/src/ibis/wire/codec.cpp
+++ b/src/ibis/wire/codec.cpp
@@ -63,6 +63,11 @@
   return fb::Createfailed_shard(out, value.index, value.sent);
 }
 
+auto write_leaving(builder& out, const leaving_leaf& value) {
+  const auto leaf = out.CreateString(value.leaf);
+  return fb::Createleaving_leaf(out, leaf, value.started_at.count());
+}
+
 auto write_tags(builder& out, const std::vector<std::uint32_t>& value) {
   return fb::Createleaf_tagsDirect(out, &value);
 }
@@ -197,9 +202,10 @@
     const auto covered = write_list(out, value.covered, write_covered);
     const auto failed = write_list(out, value.failed, write_failed);
     const auto records = out.CreateString(value.records);
+    const auto leaving_leafs = write_list(out, value.leaving_leafs, write_leaving);
     finish(fb::body::shards_reply,
            fb::Createshards_reply(out, value.call.value, value.final, value.leaving,
-                                  covered, failed, records)
+                                  covered, failed, records, leaving_leafs)
                .Union());
   }
   void operator()(const part_request& value) const {
@@ -370,6 +376,11 @@
     return failed_shard{item.index(), item.sent()};
   });
   value.records = read_string(source.records());
+  value.leaving_leafs =
+      read_list<leaving_leaf>(source.leaving_leafs(), [](const auto& item) {
+        return leaving_leaf{read_string(item.leaf()),
+                            base::milliseconds(item.started_at_ms())};
+      });
   return value;
 }
 
--- a/src/ibis/wire/codec_test.cpp
+++ b/src/ibis/wire/codec_test.cpp
@@ -83,7 +83,13 @@
 }
 
 shards_reply sample_shards_reply() {
-  return {{7}, false, true, {{0, "3e1b.07"}}, {{1, true}}, std::string("a\0b", 3)};
+  return {{7},
+          false,
+          true,
+          {{0, "3e1b.07"}},
+          {{1, true}},
+          std::string("a\0b", 3),
+          {{"i-7", base::milliseconds(5)}}};
 }
 
 TEST_CASE("Messages are unchanged after encoding and decoding") {
--- a/standins/holder_fleet.cpp
+++ b/standins/holder_fleet.cpp
@@ -37,7 +37,7 @@
   record.availability_zone = zone;
   record.slots = 2;
   record.started_at = milliseconds(1 + leafs.size());
-  leafs[id] = {record, connection_limit_};
+  leafs[id] = {record, false, connection_limit_};
 }
 
 void holder_fleet::remove_leaf(const std::string& id) {
@@ -319,6 +319,7 @@
     auto answer = std::make_shared<serving::leaf_answer>();
     answer->status = status_ok;
     answer->signature = signature;
+    answer->leaf_leaving = leafs.at(found->second.leaf).says_leaving;
     answer->body = make_records(signature);
     deliver_event(key.first, serving::leaf_answered{key.second, answer, true, {}});
   });
--- a/standins/holder_fleet.hpp
+++ b/standins/holder_fleet.hpp
@@ -39,6 +39,7 @@
   /// A leaf; tests change the members at any time.
   struct shared_leaf {
     serving::leaf_record record;
+    bool says_leaving = false;  ///< It says in its answers that it leaves.
     std::size_t connection_limit = 0;
     std::size_t connections = 0;
     std::size_t most_connections = 0;
--- a/standins/serving_fleet.cpp
+++ b/standins/serving_fleet.cpp
@@ -248,7 +248,8 @@
     if (reaction == leaf_reaction::run_and_disconnect) {
       connections_.erase(found);
       --open_connections;
-      deliver_event(serving::connection_lost{effect.connection, "reset"});
+      deliver_event(serving::connection_lost{effect.connection, "reset",
+                                             leafs.at(connection.leaf).says_leaving});
       return;
     }
     auto answer = std::make_shared<serving::leaf_answer>();
@@ -257,6 +258,7 @@
                      : reaction == leaf_reaction::fail   ? status_failed
                                                          : status_ok;
     answer->instance_mismatch = wrong_instance;
+    answer->leaf_leaving = leafs.at(connection.leaf).says_leaving;
     answer->not_executed = wrong_instance || reaction == leaf_reaction::refuse;
     if (!answer->not_executed) {
       answer->signature = connection.leaf + '/' + effect.request->id;
--- a/standins/serving_fleet.hpp
+++ b/standins/serving_fleet.hpp
@@ -31,6 +31,7 @@
   std::function<base::duration(std::mt19937_64&)> service_time;
   std::function<leaf_reaction(std::mt19937_64&)> reaction;
   bool accepts_connections = true;
+  bool says_leaving = false;  ///< It says in its answers that it leaves.
   /// If set, the leaf sends each answer a second time, this long after the first.
   std::optional<base::duration> copy_delay;
   base::time_point paused_until{};  ///< Requests do not start to run earlier.
