A request does not wait for a connection that it cannot use

Cause: the leaf's only connection had carried the request and the reconnect back-off allowed no other; the leaf counted as busy, and nothing ended the wait before the request's deadline.

A task waits only for a leaf to which it can be sent apart from the leaf's load, or that has a connection in use which has not carried it. Otherwise it is given up at once.

--- a/include/ibis/serving/connections.hpp
+++ b/include/ibis/serving/connections.hpp
@@ -33,6 +33,12 @@
 bool can_send_now(const node_state& node, const leaf_state& leaf, std::uint64_t key,
                   base::time_point now);
 
+/// Whether it makes sense to wait until a request can be sent to the leaf: it can be
+/// sent apart from the leaf's load, or on a connection that is in use now.
+/// @param key The request's `request_key`.
+bool may_send_later(const node_state& node, const leaf_state& leaf, std::uint64_t key,
+                    base::time_point now);
+
 /// Closes the connection to the leaf that was idle longest, if a new one could not be
 /// opened beside it.
 void make_room_for_connection(leaf_state& leaf, context& ctx);
--- a/src/ibis/serving/connections.cpp
+++ b/src/ibis/serving/connections.cpp
@@ -1,6 +1,6 @@
 #include "ibis/serving/connections.hpp"
 
-#include <algorithm>  // for all_of, clamp, count_if, find, find_if, max, min
+#include <algorithm>  // for all_of, any_of, count_if, find, find_if, min
 #include <limits>     // for numeric_limits
 #include <utility>    // for move
 
@@ -178,6 +178,19 @@
          (!leaf.idle.empty() && now >= leaf.next_connect_at);
 }
 
+bool may_send_later(const node_state& node, const leaf_state& leaf, std::uint64_t key,
+                    base::time_point now) {
+  if (leaf.open == 0) {
+    return false;
+  }
+  return can_send_now(node, leaf, key, now) ||
+         std::any_of(leaf.running.begin(), leaf.running.end(),
+                     [&node, key](const running_request& request) {
+                       return !has_carried(node.connections.at(request.connection),
+                                           key);
+                     });
+}
+
 void make_room_for_connection(leaf_state& leaf, context& ctx) {
   if (!leaf.idle.empty() && !can_open_connection(ctx.node, leaf, ctx.now)) {
     close(leaf.idle.front(), ctx);
--- a/src/ibis/serving/leaf_choice.cpp
+++ b/src/ibis/serving/leaf_choice.cpp
@@ -4,7 +4,7 @@
 #include <limits>     // for numeric_limits
 
 #include "ibis/serving/concurrency_limit.hpp"  // for has_capacity
-#include "ibis/serving/connections.hpp"        // for find_idle, can_send_now
+#include "ibis/serving/connections.hpp"  // for find_idle, can_send_now, may_send_later
 
 namespace ibis::serving {
 namespace {
@@ -90,8 +90,9 @@
       continue;
     }
     const bool available = can_take_now(*leaf, requirements, ctx);
-    // There is no point in waiting for a leaf that cannot be reached.
-    if (!available && (requirements.is_hedge || leaf->open == 0)) {
+    const bool may_wait = !requirements.is_hedge &&
+                          may_send_later(ctx.node, *leaf, requirements.key, ctx.now);
+    if (!available && !may_wait) {
       continue;
     }
     double cost = cost_of(task, *leaf, requirements, ctx);
--- a/tests/serving_properties_test.cpp
+++ b/tests/serving_properties_test.cpp
@@ -184,34 +184,47 @@
   }
 }
 
+/// Runs a session and checks all guarantees.
+void check_session(std::uint64_t seed) {
+  INFO("seed " << seed);
+  random_session session(seed);
+  session.run();
+  serving_fleet& fleet = session.fleet;
+  for (const standins::client_answer& answer : fleet.answers) {
+    if (answer.answer.missing_shards) {
+      check_merged(session, answer);
+    }
+  }
+  check_arrivals(fleet);
+  CHECK(static_cast<int>(fleet.answers.size()) + session.disconnected ==
+        session.request_count);
+  CHECK(std::is_sorted(fleet.applied_versions.begin(), fleet.applied_versions.end()));
+  CHECK(fleet.node.configuration->version == session.version);
+  // No state remains once all requests have ended.
+  CHECK(fleet.node.pending_requests.empty());
+  for (const auto& [name, service] : fleet.node.services) {
+    CHECK(service.waiting.empty());
+    for (const auto& leaf : service.leafs) {
+      CHECK(leaf->running.empty());
+      CHECK(leaf->opening == 0);
+    }
+  }
+  CHECK(fleet.node.connections.size() == fleet.open_connections);
+}
+
 }  // namespace
 
 TEST_CASE("A serving node keeps its guarantees under random faults") {
   for (std::uint64_t seed = 1; seed <= seed_count(); ++seed) {
-    INFO("seed " << seed);
-    random_session session(seed);
-    session.run();
-    serving_fleet& fleet = session.fleet;
-    for (const standins::client_answer& answer : fleet.answers) {
-      if (answer.answer.missing_shards) {
-        check_merged(session, answer);
-      }
-    }
-    check_arrivals(fleet);
-    CHECK(static_cast<int>(fleet.answers.size()) + session.disconnected ==
-          session.request_count);
-    CHECK(std::is_sorted(fleet.applied_versions.begin(), fleet.applied_versions.end()));
-    CHECK(fleet.node.configuration->version == session.version);
-    // No state remains once all requests have ended.
-    CHECK(fleet.node.pending_requests.empty());
-    for (const auto& [name, service] : fleet.node.services) {
-      CHECK(service.waiting.empty());
-      for (const auto& leaf : service.leafs) {
-        CHECK(leaf->running.empty());
-        CHECK(leaf->opening == 0);
-      }
-    }
-    CHECK(fleet.node.connections.size() == fleet.open_connections);
+    check_session(seed);
+  }
+}
+
+// Guards against a request that waits for a leaf whose only connection has carried it,
+// and to which no other can be opened: nothing ends the wait before its deadline.
+TEST_CASE("A request does not wait for a connection that it cannot use") {
+  for (const std::uint64_t seed : {407, 813, 945, 1029, 2364}) {
+    check_session(seed);
   }
 }
 
