--- a/standins/serving_fleet.cpp
+++ b/standins/serving_fleet.cpp
@@ -398,6 +398,13 @@
   return event;
 }
 
+serving::node_settings unlimited_budget_settings() {
+  serving::node_settings settings;
+  constexpr double ample = 1e5;
+  settings.budget.slack = ample;
+  return settings;
+}
+
 std::string make_records(const std::string& seed) {
   constexpr int count = 7;
   std::string body;
--- a/standins/serving_fleet.hpp
+++ b/standins/serving_fleet.hpp
@@ -180,6 +180,9 @@
   std::map<serving::store_topic, pending_call> calls_;
 };
 
+/// @return Settings with a budget of extra requests that is never exhausted.
+serving::node_settings unlimited_budget_settings();
+
 /// Makes an answer body of fixed length whose records differ and are unordered.
 /// @param seed The body differs for each seed.
 std::string make_records(const std::string& seed);
--- a/tests/serving_faults_test.cpp
+++ b/tests/serving_faults_test.cpp
@@ -11,19 +11,12 @@
 using standins::fleet_leaf;
 using standins::leaf_reaction;
 using standins::serving_fleet;
+using standins::unlimited_budget_settings;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
 const std::vector<std::string> four_shards{"s0", "s1", "s2", "s3"};
 
-/// Settings with a budget of extra requests that is never exhausted.
-serving::node_settings unlimited_budget_settings() {
-  serving::node_settings settings;
-  constexpr double ample = 1e5;
-  settings.budget.slack = ample;
-  return settings;
-}
-
 /// Adds four shards with two leafs each and a service "one" with two leafs.
 void populate(serving_fleet& fleet) {
   std::vector<std::string> services = four_shards;
--- a/tests/serving_late_copies_test.cpp
+++ b/tests/serving_late_copies_test.cpp
@@ -11,20 +11,13 @@
 
 using standins::leaf_reaction;
 using standins::serving_fleet;
+using standins::unlimited_budget_settings;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
 /// How long after an answer its second copy follows.
 constexpr milliseconds copy_delay{6};
 
-/// Settings with a budget of extra requests that is never exhausted.
-serving::node_settings unlimited_budget_settings() {
-  serving::node_settings settings;
-  constexpr double ample = 1e5;
-  settings.budget.slack = ample;
-  return settings;
-}
-
 /// Adds a service "one" with the given leafs, which run a request for 40 ms and send
 /// all answers twice.
 void populate(serving_fleet& fleet, const std::vector<std::string>& leafs) {
--- a/tests/serving_leaving_test.cpp
+++ b/tests/serving_leaving_test.cpp
@@ -11,17 +11,10 @@
 using standins::holder_fleet;
 using standins::leaf_reaction;
 using standins::serving_fleet;
+using standins::unlimited_budget_settings;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-/// Settings with a budget of extra requests that is never exhausted.
-serving::node_settings unlimited_budget_settings() {
-  serving::node_settings settings;
-  constexpr double ample = 1e5;
-  settings.budget.slack = ample;
-  return settings;
-}
-
 /// Adds a shard "s0" and a service "one" with two leafs each, and cuts the store off.
 void populate(serving_fleet& fleet) {
   for (const std::string service : {"s0", "one"}) {
