--- a/tests/serving_leaving_test.cpp
+++ b/tests/serving_leaving_test.cpp
@@ -122,6 +122,23 @@
   CHECK(count_arrivals(fleet, "one-b") == 1);
 }
 
+TEST_CASE("A connection that opens after its leaf began to drain carries no request") {
+  serving_fleet fleet(5, unlimited_budget_settings());
+  fleet.add_leaf("one-a", "one");
+  fleet.configure(standins::make_catalog(1, {}, "one"));
+  fleet.start();
+  // The first request takes the open connection, so that the second one needs another.
+  fleet.send_request("first", "/write/");
+  const base::caller_id caller = fleet.send_request("second", "/write/");
+  REQUIRE(fleet.node.leafs.at("one-a")->opening == 1);
+  fleet.set_draining("one-a");
+  fleet.run_for(milliseconds(50));
+  CHECK(count_arrivals(fleet, "one-a") == 1);
+  CHECK(fleet.node.leafs.at("one-a")->open == 0);
+  REQUIRE(fleet.find_answer(caller) != nullptr);
+  CHECK(fleet.find_answer(caller)->answer.status == 503);
+}
+
 // Guards against a node that hears of a leaf's notice from nobody, since another node
 // holds the connections to the leaf.
 TEST_CASE("A holder passes a leaf's notice on to the node that asks it") {
