A message whose transfer coding is not chunked alone is refused

What was seen: a client's request with "Transfer-Encoding: gzip" (identity, xchunked, "chunked, gzip") was answered 200, and the bytes of its body were run as further requests, so that a leaf got work that no client had sent.

Cause: Boost.Beast's parser looks for a final "chunked" and ignores all other codings, so that such a message has no body for it. Ruled out: doubled lengths, a length beside a coding and a space before the colon were refused already.

The framing is now worked out from the header fields in a module of its own (RFC 9112, section 6), for requests and responses: 400 for a coding list that does not end with chunked, 501 for a coding before it, and the connection is closed; a leaf's response of that kind ends its connection, so that its request may have run. The fields must agree with what the parser itself takes for chunked.

--- a/include/ibis/http/parser.hpp
+++ b/include/ibis/http/parser.hpp
@@ -15,6 +15,7 @@
   need_more,
   complete,
   malformed,
+  unsupported_coding,  ///< The body has a transfer coding beside chunked.
   header_too_large,
   body_too_large,
 };
--- a/src/ibis/http/parser.cpp
+++ b/src/ibis/http/parser.cpp
@@ -5,6 +5,8 @@
 #include <boost/beast/http/basic_parser.hpp>  // for basic_parser
 #include <utility>                            // for move
 
+#include "ibis/http/framing.hpp"  // for determine_framing
+
 namespace ibis::http {
 namespace {
 
@@ -22,6 +24,7 @@
 class message_builder : public beast_http::basic_parser<IsRequest> {
  public:
   Message message;
+  body_framing framing = body_framing::unstated;
 
  private:
   using verb = beast_http::verb;
@@ -30,15 +33,17 @@
   using optional_length = boost::optional<std::uint64_t>;
 
   // The callbacks' names are those of the base class.
-  void on_request_impl(verb /*known*/, text method, text target, int /*version*/,
+  void on_request_impl(verb /*known*/, text method, text target, int version,
                        boost_error& /*ec*/) override {
+    http_1_0_ = version == http_1_0_version;
     if constexpr (IsRequest) {
       message.method = to_std_string(method);
       message.target = to_std_string(target);
     }
   }
-  void on_response_impl(int status, text reason, int /*version*/,
+  void on_response_impl(int status, text reason, int version,
                         boost_error& /*ec*/) override {
+    http_1_0_ = version == http_1_0_version;
     if constexpr (!IsRequest) {
       message.status = static_cast<unsigned>(status);
       message.reason = to_std_string(reason);
@@ -48,7 +53,14 @@
                      boost_error& /*ec*/) override {
     message.fields.push_back({to_std_string(name), to_std_string(value)});
   }
-  void on_header_impl(boost_error& /*ec*/) override {}
+  void on_header_impl(boost_error& ec) override {
+    framing = determine_framing(message.fields, http_1_0_);
+    // The base class ignores codings that it does not know.
+    const bool agreed = this->chunked() == (framing == body_framing::chunked);
+    if (!agreed || framing == body_framing::invalid) {
+      ec = beast_http::error::bad_transfer_encoding;
+    }
+  }
   void on_body_init_impl(const optional_length& length, boost_error& /*ec*/) override {
     // The announced length may be false.
     constexpr std::uint64_t max_reserved_bytes = 64ULL * 1024;
@@ -68,6 +80,10 @@
     return on_body_impl(body, ec);
   }
   void on_finish_impl(boost_error& /*ec*/) override {}
+
+  static constexpr int http_1_0_version = 10;  // As the base class states versions.
+
+  bool http_1_0_ = false;
 };
 
 template <typename Parser>
@@ -94,7 +110,8 @@
   const std::size_t consumed =
       parser.put(boost::asio::const_buffer(bytes.data(), bytes.size()), ec);
   if (ec) {
-    return {state_for(ec), consumed};
+    const bool unsupported = parser.framing == body_framing::unsupported_coding;
+    return {unsupported ? parse_state::unsupported_coding : state_for(ec), consumed};
   }
   return {parser.is_done() ? parse_state::complete : parse_state::need_more, consumed};
 }
--- a/src/ibis/http/parser_test.cpp
+++ b/src/ibis/http/parser_test.cpp
@@ -80,6 +80,61 @@
   }
 }
 
+// Guards against bytes of a body that are run as further requests, because the reader
+// ignores a transfer coding that it does not know.
+TEST_CASE("A message whose transfer coding is not chunked alone is never complete") {
+  struct coding_case {
+    std::string fields;
+    parse_state request_state;
+  };
+  const std::vector<coding_case> cases{
+      {"Transfer-Encoding: gzip\r\n", parse_state::malformed},
+      {"Transfer-Encoding: identity\r\n", parse_state::malformed},
+      {"Transfer-Encoding: xchunked\r\n", parse_state::malformed},
+      {"Transfer-Encoding: chunked, gzip\r\n", parse_state::malformed},
+      {"Transfer-Encoding:\r\n", parse_state::malformed},
+      {"Transfer-Encoding: chunked, chunked\r\n", parse_state::malformed},
+      {"Transfer-Encoding: chunked\r\nTransfer-Encoding: gzip\r\n",
+       parse_state::malformed},
+      {"TRANSFER-encoding:\tGZIP ,\r\n", parse_state::malformed},
+      {"Transfer-Encoding: gzip, chunked\r\n", parse_state::unsupported_coding},
+      {"Transfer-Encoding: gzip\r\nTransfer-Encoding: Chunked\r\n",
+       parse_state::unsupported_coding}};
+  const std::string body = "GET /hidden HTTP/1.1\r\nHost: h\r\n\r\n";
+  for (const coding_case& tested : cases) {
+    INFO(tested.fields);
+    request value;
+    CHECK(
+        parse_request_text("POST / HTTP/1.1\r\n" + tested.fields + "\r\n" + body, value)
+            .state == tested.request_state);
+    response_parser parser(limits, false);
+    const parse_progress progress =
+        parser.feed("HTTP/1.1 200 OK\r\n" + tested.fields + "\r\n" + body);
+    CHECK(progress.state == tested.request_state);
+  }
+}
+
+TEST_CASE("A chunked coding is recognized in any case and list form") {
+  const std::string body = "\r\n3\r\nabc\r\n0\r\n\r\n";
+  for (const char* coding : {"chunked", "Chunked", "\tchunked\t"}) {
+    INFO(coding);
+    request value;
+    const auto progress = parse_request_text(
+        std::string("POST / HTTP/1.1\r\nTransfer-Encoding: ") + coding + "\r\n" + body,
+        value);
+    CHECK(progress.state == parse_state::complete);
+    CHECK(value.body == "abc");
+  }
+}
+
+TEST_CASE("A transfer coding in HTTP/1.0 is malformed") {
+  request value;
+  CHECK(parse_request_text("POST / HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n"
+                           "0\r\n\r\n",
+                           value)
+            .state == parse_state::malformed);
+}
+
 TEST_CASE("Each exceeded size limit has its own parse state") {
   request value;
   const std::string long_header =
--- a/src/ibis/reactor/server_session.cpp
+++ b/src/ibis/reactor/server_session.cpp
@@ -11,6 +11,7 @@
 constexpr unsigned status_timeout = 408;
 constexpr unsigned status_body_too_large = 413;
 constexpr unsigned status_header_too_large = 431;
+constexpr unsigned status_not_implemented = 501;
 
 /// Reading pauses once more bytes than this of pipelined requests are buffered.
 constexpr std::size_t read_ahead_limit = 65536;
@@ -23,6 +24,8 @@
       return status_header_too_large;
     case http::parse_state::body_too_large:
       return status_body_too_large;
+    case http::parse_state::unsupported_coding:
+      return status_not_implemented;
     default:
       return status_bad_request;
   }
