Trailer fields of a chunked message are dropped

What was seen: fields after a chunked body were passed on as header fields, so that a leaf's trailer could name another request or say that the leaf leaves.

Cause: the parser reports trailer fields by the same callback as header fields. They are dropped now (RFC 9110, section 6.5.1).

--- a/src/ibis/http/parser.cpp
+++ b/src/ibis/http/parser.cpp
@@ -51,9 +51,13 @@
   }
   void on_field_impl(field /*known*/, text name, text value,
                      boost_error& /*ec*/) override {
-    message.fields.push_back({to_std_string(name), to_std_string(value)});
+    // Trailer fields are not merged into the header (RFC 9110, section 6.5.1).
+    if (!head_read_) {
+      message.fields.push_back({to_std_string(name), to_std_string(value)});
+    }
   }
   void on_header_impl(boost_error& ec) override {
+    head_read_ = true;
     framing = determine_framing(message.fields, http_1_0_);
     // The base class ignores codings that it does not know.
     const bool agreed = this->chunked() == (framing == body_framing::chunked);
@@ -84,6 +88,7 @@
   static constexpr int http_1_0_version = 10;  // As the base class states versions.
 
   bool http_1_0_ = false;
+  bool head_read_ = false;
 };
 
 template <typename Parser>
--- a/src/ibis/http/parser_test.cpp
+++ b/src/ibis/http/parser_test.cpp
@@ -135,6 +135,21 @@
             .state == parse_state::malformed);
 }
 
+// Guards against trailer fields that are taken for header fields, and so for what the
+// sender says of the message.
+TEST_CASE("Trailer fields are dropped") {
+  const std::string body =
+      "Transfer-Encoding: chunked\r\nA: 1\r\n\r\n"
+      "1\r\nx\r\n0\r\nX-Request-Id: other\r\nServer-Leaving: 1\r\n\r\n";
+  request value;
+  REQUIRE(parse_request_text("POST / HTTP/1.1\r\n" + body, value).state ==
+          parse_state::complete);
+  CHECK(value.fields.size() == 2);
+  response_parser parser(limits, false);
+  REQUIRE(parser.feed("HTTP/1.1 200 OK\r\n" + body).state == parse_state::complete);
+  CHECK(parser.take().fields.size() == 2);
+}
+
 TEST_CASE("Each exceeded size limit has its own parse state") {
   request value;
   const std::string long_header =
