A few empty lines before a request are passed over

What was seen: an empty line after a request's body got 400 and the connection was closed (RFC 9112, section 2.2, asks servers to pass over at least one).

Up to four are passed over, also byte by byte, and a connection that sent nothing else stays idle, so that a stop still closes it at once. More get 400 as before.

--- a/include/ibis/http/parser.hpp
+++ b/include/ibis/http/parser.hpp
@@ -48,7 +48,10 @@
   ~request_parser();
 
   /// Parses received bytes, which begin with those that the last call did not consume.
+  /// A few empty lines before the request are passed over (RFC 9112, section 2.2).
   parse_progress feed(std::string_view bytes);
+  /// Whether any byte of the request itself was parsed.
+  [[nodiscard]] bool started() const;
   /// Whether the request line and all header fields were parsed.
   [[nodiscard]] bool header_complete() const;
   /// Whether the client waits for a "100 Continue" response before it sends the body.
@@ -58,6 +61,9 @@
   request take();
 
  private:
+  /// @return The size of the empty lines at the start of the bytes, up to a limit.
+  std::size_t skip_empty_lines(std::string_view bytes);
+
   struct implementation;
   std::unique_ptr<implementation> parser_;
 };
--- a/src/ibis/http/parser.cpp
+++ b/src/ibis/http/parser.cpp
@@ -125,6 +125,7 @@
 
 struct request_parser::implementation {
   message_builder<true, request> beast_parser;
+  std::size_t empty_lines = 0;  ///< Passed over before the request.
 };
 
 request_parser::request_parser(const parse_limits& limits)
@@ -137,7 +138,30 @@
 request_parser::~request_parser() = default;
 
 parse_progress request_parser::feed(std::string_view bytes) {
-  return feed_parser(parser_->beast_parser, bytes);
+  const std::size_t skipped = started() ? 0 : skip_empty_lines(bytes);
+  const std::string_view rest = bytes.substr(skipped);
+  if (!started() && (rest.empty() || rest == "\r")) {
+    return {parse_state::need_more, skipped};
+  }
+  parse_progress progress = feed_parser(parser_->beast_parser, rest);
+  progress.consumed += skipped;
+  return progress;
+}
+
+std::size_t request_parser::skip_empty_lines(std::string_view bytes) {
+  constexpr std::string_view empty_line = "\r\n";
+  constexpr std::size_t max_empty_lines = 4;
+  std::size_t skipped = 0;
+  while (bytes.substr(skipped, empty_line.size()) == empty_line &&
+         parser_->empty_lines < max_empty_lines) {
+    ++parser_->empty_lines;
+    skipped += empty_line.size();
+  }
+  return skipped;
+}
+
+bool request_parser::started() const {
+  return parser_->beast_parser.got_some();
 }
 
 bool request_parser::header_complete() const {
--- a/src/ibis/http/parser_test.cpp
+++ b/src/ibis/http/parser_test.cpp
@@ -150,6 +150,33 @@
   CHECK(parser.take().fields.size() == 2);
 }
 
+TEST_CASE("A few empty lines before a request are passed over") {
+  const std::string text = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
+  request value;
+  for (const char* lines : {"\r\n", "\r\n\r\n\r\n\r\n"}) {
+    const auto progress = parse_request_text(lines + text, value);
+    CHECK(progress.state == parse_state::complete);
+    CHECK(progress.consumed == std::string(lines).size() + text.size());
+    CHECK(value.target == "/a");
+  }
+  CHECK(parse_request_text("\r\n\r\n\r\n\r\n\r\n" + text, value).state ==
+        parse_state::malformed);
+  CHECK(parse_request_text("\n" + text, value).state == parse_state::malformed);
+}
+
+TEST_CASE("Empty lines before a request are passed over byte by byte") {
+  request_parser parser(limits);
+  std::string pending;
+  parse_state state = parse_state::need_more;
+  for (const char byte : std::string("\r\n\r\nGET / HTTP/1.1\r\nHost: h\r\n\r\n")) {
+    pending += byte;
+    const parse_progress progress = parser.feed(pending);
+    pending.erase(0, progress.consumed);
+    state = progress.state;
+  }
+  CHECK(state == parse_state::complete);
+}
+
 TEST_CASE("Each exceeded size limit has its own parse state") {
   request value;
   const std::string long_header =
--- a/src/ibis/reactor/server_session.cpp
+++ b/src/ibis/reactor/server_session.cpp
@@ -93,14 +93,18 @@
 
 void server_session::parse() {
   while (!input_.empty() && (phase_ == phase::idle || phase_ == phase::reading)) {
-    if (phase_ == phase::idle) {
+    if (!parser_) {
       const serving::client_limits limits = hooks_.limits();
       parser_.emplace(http::parse_limits{limits.header_bytes, limits.body_bytes});
       continue_sent_ = false;
-      enter_phase(phase::reading);
     }
     const http::parse_progress progress = parser_->feed(input_);
     input_.erase(0, progress.consumed);
+    // Empty lines before a request leave the connection idle.
+    const bool request_begun = parser_->started() || !input_.empty();
+    if (phase_ == phase::idle && request_begun) {
+      enter_phase(phase::reading);
+    }
     if (progress.state == http::parse_state::complete) {
       dispatch_request();
       return;
@@ -124,6 +128,7 @@
   enter_phase(phase::handling_request);
   ++request_count_;
   http::request value = parser_->take();
+  parser_.reset();
   client_keep_alive_ = value.keep_alive;
   for_head_request_ = value.method == "HEAD";
   hooks_.on_request(shared_from_this(), std::move(value));
