The nodes are counted over all pages of their records

Now pages are read until the last and applied together. A page that fails or does not advance ends the count, which changes nothing and is tried again after a spread delay. Counts and the record's write are calls with a time limit on one queue: a count used to cancel a write that was in flight, without a trace. Each failure is logged with its status. The removal of the record at a stop has a connection of its own and waits for neither.

This node's record and the count are a module now (node.cpp shrinks); the spread backoff, which stood in the store's follower, is shared.

--- a/include/ibis/reactor/protocol.hpp
+++ b/include/ibis/reactor/protocol.hpp
@@ -46,8 +46,9 @@
   /// Makes a store request that writes this node's own record.
   /// @param peer_address "ip:port" where other nodes reach this one; may be empty.
   std::function<http::request(const std::string& peer_address)> make_register_request;
-  /// Makes a store request that lists the records of all nodes.
-  std::function<http::request()> make_count_request;
+  /// Makes a store request for one page of the records of all nodes.
+  /// @param after The last name of the page before; empty for the first page.
+  std::function<http::request(const std::string& after)> make_count_request;
   /// Makes a store request that deletes this node's own record.
   std::function<http::request()> make_unregister_request;
   /// Makes a cheap store request that returns the store's current revision.
--- a/include/ibis/runtime/http_call_queue.hpp
+++ b/include/ibis/runtime/http_call_queue.hpp
@@ -16,7 +16,9 @@
 class http_call_queue : public std::enable_shared_from_this<http_call_queue> {
  public:
   /// The connection is opened by the first call.
-  http_call_queue(asio::io_context& io, const asio::ip::tcp::endpoint& peer);
+  /// @param mode When a call is sent again.
+  http_call_queue(asio::io_context& io, const asio::ip::tcp::endpoint& peer,
+                  http_client::retry_mode mode = http_client::retry_mode::never);
 
   /// Queues a call.
   /// @param limit The time limit, counted from when the call is sent, not from when it
@@ -38,6 +40,7 @@
   void finish(base::result<http::response> response);
 
   std::shared_ptr<http_client> client_;
+  http_client::retry_mode mode_;
   asio::steady_timer timer_;
   std::deque<queued_call> calls_;  ///< The first one is in progress if `busy_`.
   bool busy_ = false;
--- a/include/ibis/serving/effect.hpp
+++ b/include/ibis/serving/effect.hpp
@@ -147,10 +147,17 @@
 };
 
 /// Writes this node's record to the store, so that other nodes count it.
-struct register_node {};
+/// `node_record_written` follows.
+struct register_node {
+  base::milliseconds limit{0};  ///< Timeout of the call.
+};
 
-/// Counts the nodes that have a record in the store; the result may be seconds old.
-struct count_nodes {};
+/// Reads one page of the records of all nodes; it may be seconds old. `nodes_counted`
+/// or `node_count_failed` follows.
+struct count_nodes {
+  std::string after;  ///< The last name of the page before; empty for the first page.
+  base::milliseconds limit{0};  ///< Timeout of the call.
+};
 
 /// Makes a small call to the store, which shows whether it answers and its revision.
 struct probe_store {
--- a/include/ibis/serving/event.hpp
+++ b/include/ibis/serving/event.hpp
@@ -125,11 +125,21 @@
   std::string availability_zone;
 };
 
-/// The nodes that have a record in the store. They share the leafs' connections.
+/// One page of the nodes that have a record in the store. All nodes share the leafs'
+/// connections.
 struct nodes_counted {
   std::size_t count = 0;
   bool self = false;  ///< Whether this node's own record is included in `count`.
   std::vector<peer> peers;
+  std::string next_page_after;  ///< Where the next page starts; empty on the last one.
+};
+
+/// A page of the nodes' records could not be read.
+struct node_count_failed {};
+
+/// A write of this node's record ended.
+struct node_record_written {
+  bool written = false;  ///< False if it failed; it may be written nevertheless.
 };
 
 /// A peer requests the changes of a topic after a revision.
@@ -213,8 +223,9 @@
 using event =
     std::variant<request_arrived, caller_disconnected, connection_opened,
                  connection_failed, connection_lost, leaf_answered, topic_listed,
-                 topic_changed, store_call_failed, nodes_counted, peer_query_received,
-                 peer_replied, shards_requested, shards_replied, shards_cancelled,
+                 topic_changed, store_call_failed, nodes_counted, node_count_failed,
+                 node_record_written, peer_query_received, peer_replied,
+                 shards_requested, shards_replied, shards_cancelled,
                  shards_undeliverable, peer_lost, settings_changed, store_probed,
                  stop_requested, tick>;
 
--- /dev/null
+++ b/include/ibis/serving/node_records.hpp
@@ -0,0 +1,29 @@
+/// This node's record in the store, and the count of all nodes by their records. The
+/// count decides each node's share of what all nodes share: connections and extra
+/// requests.
+#pragma once
+
+#include "ibis/serving/state.hpp"  // for context, timer
+
+namespace ibis::serving {
+
+/// Starts the first count. It shows whether this node's record exists from before a
+/// restart.
+void start_counting(context& ctx);
+
+/// Starts a count when its timer fires.
+void on_count_due(const timer& due, context& ctx);
+
+/// Handles one page of a count. After the last one, the number of nodes and the peers
+/// are replaced, and this node's record is written if the count lacks it.
+void on_nodes_counted(const nodes_counted& page, context& ctx);
+
+/// Handles a page that could not be read: the numbers of the last complete count stay,
+/// and the count is tried again after a delay.
+void on_node_count_failed(context& ctx);
+
+/// Handles the result of writing this node's record. After a failed write, the next
+/// count that lacks the record writes it again.
+void on_node_record_written(const node_record_written& event, context& ctx);
+
+}  // namespace ibis::serving
--- a/include/ibis/serving/settings.hpp
+++ b/include/ibis/serving/settings.hpp
@@ -90,6 +90,10 @@
   base::milliseconds probe_period{1000};
   base::milliseconds probe_limit{700};     ///< Timeout of a probe.
   base::milliseconds count_period{10000};  ///< Between counts of the nodes.
+  /// Delay before a count, or the write of this node's record, is tried again; doubled
+  /// after each consecutive failure.
+  base::milliseconds record_backoff{500};
+  base::milliseconds record_backoff_limit{8000};
 };
 
 /// Settings for getting store updates from other nodes.
--- a/include/ibis/serving/state.hpp
+++ b/include/ibis/serving/state.hpp
@@ -53,7 +53,7 @@
   /// Treats a listing that may be stale as current if the node is watching by then.
   /// Subject: topic.
   stale_listing_caught_up,
-  count_nodes,  ///< Counts the nodes in the store.
+  count_nodes,  ///< Counts the nodes in the store. Detail: serial of the schedule.
   probe_store,  ///< Probes the store if this node depends on it.
   peer_wait,    ///< A held query of a peer must be answered.
   /// Replies to another node with the shards that have answered. Subject: request.
@@ -200,6 +200,18 @@
   topic_history history;
 };
 
+/// The count of the nodes' records, and the writing of this node's own.
+struct node_records_state {
+  bool counting = false;             ///< A count is in progress.
+  nodes_counted counted;             ///< The pages of an incomplete count.
+  std::string page_after;            ///< Where the requested page starts.
+  std::uint64_t count_serial = 0;    ///< Identifies the latest schedule of a count.
+  std::uint32_t count_failures = 0;  ///< Consecutive ones.
+  /// When this node last wrote its record; nothing if it never did.
+  std::optional<base::time_point> written_at;
+  std::uint32_t write_failures = 0;  ///< Consecutive ones.
+};
+
 /// Progress of a graceful stop.
 struct stop_state {
   bool requested = false;
@@ -268,8 +280,7 @@
   std::unordered_map<base::block_call_id, shard_call> shard_calls;
   /// Requests of other nodes, by the node's name and its call.
   std::map<std::pair<std::string, base::block_call_id>, base::caller_id> remote_callers;
-  /// When this node last wrote its record; nothing if it never did.
-  std::optional<base::time_point> registered_at;
+  node_records_state records;
   stop_state stop;
   base::basic_timer_queue<timer_kind> timers;
   std::minstd_rand random;
--- a/src/ibis/reactor/node_loop.cpp
+++ b/src/ibis/reactor/node_loop.cpp
@@ -289,10 +289,10 @@
     peers_->send_reply(*reply);
   } else if (const auto* reset = std::get_if<serving::reset_peer_connection>(&effect)) {
     peers_->reset_connection(*reset);
-  } else if (std::holds_alternative<serving::register_node>(effect)) {
-    store_->register_node(peer_address_);
-  } else if (std::holds_alternative<serving::count_nodes>(effect)) {
-    store_->count_nodes();
+  } else if (const auto* record = std::get_if<serving::register_node>(&effect)) {
+    store_->register_node(*record, peer_address_);
+  } else if (const auto* count = std::get_if<serving::count_nodes>(&effect)) {
+    store_->count_nodes(*count);
   } else if (std::holds_alternative<serving::unregister_node>(effect)) {
     store_->unregister_node([] {});
   } else {
--- a/src/ibis/reactor/store_client.cpp
+++ b/src/ibis/reactor/store_client.cpp
@@ -21,7 +21,9 @@
     : protocol_(platform_protocol),
       on_event_(std::move(on_event)),
       probe_queue_(std::make_shared<runtime::http_call_queue>(io, peer)),
-      node_record_client_(std::make_shared<runtime::http_client>(io, peer)) {
+      record_queue_(std::make_shared<runtime::http_call_queue>(
+          io, peer, runtime::http_client::retry_mode::on_closed_connection)),
+      removal_client_(std::make_shared<runtime::http_client>(io, peer)) {
   for (auto& client : topic_clients_) {
     client = std::make_shared<runtime::http_client>(io, peer);
   }
@@ -70,31 +72,52 @@
              {{"step", step}, {"status", std::to_string(status)}}});
 }
 
-void store_client::register_node(const std::string& peer_address) {
-  node_record_client_->call(protocol_.make_register_request(peer_address),
-                            runtime::http_client::retry_mode::on_closed_connection,
-                            [this](const base::result<http::response>& response) {
-                              if (!response) {
-                                log_failure("register", response.error());
-                              } else if (is_refusal(response.value().status)) {
-                                log_refusal("register", response.value().status);
-                              }
-                            });
-}
-
-void store_client::count_nodes() {
-  node_record_client_->call(
-      protocol_.make_count_request(),
-      runtime::http_client::retry_mode::on_closed_connection,
+void store_client::register_node(const serving::register_node& effect,
+                                 const std::string& peer_address) {
+  const bool added = record_queue_->add(
+      protocol_.make_register_request(peer_address), effect.limit,
       [this](const base::result<http::response>& response) {
-        if (!response) {
-          log_failure("count", response.error());
-          return;
-        }
-        if (const auto count = protocol_.decode_node_count(response.value())) {
-          on_event_(*count);
-        }
+        on_event_(serving::node_record_written{is_written(response)});
       });
+  if (!added) {
+    on_event_(serving::node_record_written{false});
+  }
+}
+
+bool store_client::is_written(const base::result<http::response>& response) {
+  if (!response) {
+    log_failure("register", response.error());
+    return false;
+  }
+  if (is_refusal(response.value().status)) {
+    log_refusal("register", response.value().status);
+    return false;
+  }
+  return true;
+}
+
+void store_client::count_nodes(const serving::count_nodes& effect) {
+  const bool added = record_queue_->add(
+      protocol_.make_count_request(effect.after), effect.limit,
+      [this](const base::result<http::response>& response) { report_count(response); });
+  if (!added) {
+    on_event_(serving::node_count_failed{});
+  }
+}
+
+void store_client::report_count(const base::result<http::response>& response) {
+  if (!response) {
+    log_failure("count", response.error());
+    on_event_(serving::node_count_failed{});
+    return;
+  }
+  const auto page = protocol_.decode_node_count(response.value());
+  if (!page) {
+    log_refusal("count", response.value().status);
+    on_event_(serving::node_count_failed{});
+    return;
+  }
+  on_event_(*page);
 }
 
 void store_client::probe(const serving::probe_store& effect) {
@@ -113,15 +136,14 @@
 }
 
 void store_client::unregister_node(const std::function<void()>& on_done) {
-  node_record_client_->call(
-      protocol_.make_unregister_request(),
-      runtime::http_client::retry_mode::on_closed_connection,
-      [this, on_done](const base::result<http::response>& response) {
-        if (!response) {
-          log_failure("unregister", response.error());
-        }
-        on_done();
-      });
+  removal_client_->call(protocol_.make_unregister_request(),
+                        runtime::http_client::retry_mode::on_closed_connection,
+                        [this, on_done](const base::result<http::response>& response) {
+                          if (!response) {
+                            log_failure("unregister", response.error());
+                          }
+                          on_done();
+                        });
 }
 
 }  // namespace ibis::reactor
--- a/src/ibis/runtime/http_call_queue.cpp
+++ b/src/ibis/runtime/http_call_queue.cpp
@@ -10,8 +10,9 @@
 }  // namespace
 
 http_call_queue::http_call_queue(asio::io_context& io,
-                                 const asio::ip::tcp::endpoint& peer)
-    : client_(std::make_shared<http_client>(io, peer)), timer_(io) {}
+                                 const asio::ip::tcp::endpoint& peer,
+                                 http_client::retry_mode mode)
+    : client_(std::make_shared<http_client>(io, peer)), mode_(mode), timer_(io) {}
 
 bool http_call_queue::add(http::request request, base::milliseconds limit,
                           http_client::completion_handler done) {
@@ -37,7 +38,7 @@
     self->finish(base::error{base::error_code::timeout, "call", "",
                              "no response within the time limit"});
   });
-  client_->call(calls_.front().request, http_client::retry_mode::never,
+  client_->call(calls_.front().request, mode_,
                 [self = shared_from_this()](base::result<http::response> response) {
                   self->finish(std::move(response));
                 });
--- a/src/ibis/serving/node.cpp
+++ b/src/ibis/serving/node.cpp
@@ -8,6 +8,7 @@
 #include "ibis/serving/connections.hpp"         // for maintain_connections
 #include "ibis/serving/holders.hpp"             // for update_holders
 #include "ibis/serving/leaf_events.hpp"         // for on_leaf_answered
+#include "ibis/serving/node_records.hpp"        // for on_nodes_counted
 #include "ibis/serving/peer_replies.hpp"        // for on_peer_query
 #include "ibis/serving/pending_request.hpp"     // for on_request
 #include "ibis/serving/registry.hpp"            // for remove_expired_leafs
@@ -86,43 +87,6 @@
   ctx.add_timer(ctx.now + settings.check_period, timer_kind::stop_check);
 }
 
-void on_count_nodes(context& ctx) {
-  ctx.out.emplace_back(count_nodes{});
-  ctx.add_timer(ctx.now + ctx.node.settings.store.count_period,
-                timer_kind::count_nodes);
-}
-
-/// Writes this node's record, which was not in a count, unless the count may be older
-/// than the record.
-void ensure_registered(context& ctx) {
-  constexpr base::milliseconds max_count_age{5000};
-  const std::optional<base::time_point>& written_at = ctx.node.registered_at;
-  const bool may_exist = written_at && ctx.now - *written_at < max_count_age;
-  if (may_exist || ctx.node.stop.requested) {
-    return;
-  }
-  ctx.node.registered_at = ctx.now;
-  ctx.out.emplace_back(register_node{});
-}
-
-void on_nodes_counted(const nodes_counted& event, context& ctx) {
-  // The store may have counted from a copy that is older than this node's record.
-  const std::size_t others = event.self ? event.count - 1 : event.count;
-  ctx.node.nodes = others + 1;
-  ctx.node.peers = event.peers;
-  std::erase_if(ctx.node.avoided_peers,
-                [&ctx](const auto& entry) { return entry.second <= ctx.now; });
-  const base::duration forget_after = ctx.node.settings.holders.backoff_limit;
-  std::erase_if(ctx.node.holder_health, [&ctx, forget_after](const auto& entry) {
-    return entry.second.avoid_until + forget_after <= ctx.now;
-  });
-  if (!event.self) {
-    ensure_registered(ctx);
-  }
-  forget_leaving_notices(ctx);
-  update_holders(ctx);
-}
-
 void on_peer_lost(const std::string& name, context& ctx) {
   avoid_holder(name, ctx.node.settings.holders.backoff, ctx);
   retry_calls_of(name, ctx);
@@ -148,7 +112,7 @@
       remove_expired_leafs(ctx);
       break;
     case timer_kind::count_nodes:
-      on_count_nodes(ctx);
+      on_count_due(due, ctx);
       break;
     case timer_kind::probe_store:
       on_probe_due(ctx);
@@ -203,6 +167,12 @@
     on_store_call_failed(event, ctx);
   }
   void operator()(const nodes_counted& event) const { on_nodes_counted(event, ctx); }
+  void operator()(const node_count_failed& /*event*/) const {
+    on_node_count_failed(ctx);
+  }
+  void operator()(const node_record_written& event) const {
+    on_node_record_written(event, ctx);
+  }
   void operator()(const peer_query_received& event) const { on_peer_query(event, ctx); }
   void operator()(const peer_replied& event) const { on_peer_reply(event, ctx); }
   void operator()(const shards_requested& event) const {
@@ -259,9 +229,7 @@
   context ctx{now, node, out};
   node.started_at = now;
   start_following(ctx);
-  // The first count shows whether this node's record exists from before a restart.
-  ctx.out.emplace_back(count_nodes{});
-  ctx.add_timer(now + second_count_delay, timer_kind::count_nodes);
+  start_counting(ctx);
   ctx.add_timer(now + node.settings.store.probe_period, timer_kind::probe_store);
   add_maintenance(ctx);
   return out;
--- /dev/null
+++ b/src/ibis/serving/node_records.cpp
@@ -0,0 +1,130 @@
+#include "ibis/serving/node_records.hpp"
+
+#include <optional>  // for optional
+#include <utility>   // for exchange, move
+
+#include "ibis/serving/backoff.hpp"   // for spread_backoff
+#include "ibis/serving/holders.hpp"   // for update_holders
+#include "ibis/serving/registry.hpp"  // for forget_leaving_notices
+
+namespace ibis::serving {
+namespace {
+
+backoff_limits record_backoff(const node_state& node) {
+  return {node.settings.store.record_backoff, node.settings.store.record_backoff_limit};
+}
+
+/// Schedules the next count. Only the latest schedule is in force.
+void schedule_count(base::milliseconds delay, context& ctx) {
+  ctx.add_timer(ctx.now + delay, timer_kind::count_nodes, 0,
+                ++ctx.node.records.count_serial);
+}
+
+void request_page(const std::string& after, context& ctx) {
+  ctx.node.records.page_after = after;
+  ctx.out.emplace_back(count_nodes{after, ctx.node.settings.store.list_timeout});
+}
+
+void start_count(context& ctx) {
+  ctx.node.records.counting = true;
+  ctx.node.records.counted = {};
+  request_page("", ctx);
+}
+
+void write_record(context& ctx) {
+  node_records_state& records = ctx.node.records;
+  records.written_at = ctx.now;
+  ctx.out.emplace_back(register_node{ctx.node.settings.store.list_timeout});
+}
+
+/// Writes this node's record, which was not in a count, unless the count may be older
+/// than the record.
+void ensure_registered(context& ctx) {
+  constexpr base::milliseconds max_count_age{5000};
+  const std::optional<base::time_point>& written_at = ctx.node.records.written_at;
+  const bool may_exist = written_at && ctx.now - *written_at < max_count_age;
+  if (!may_exist && !ctx.node.stop.requested) {
+    write_record(ctx);
+  }
+}
+
+void append_page(nodes_counted& all, const nodes_counted& page) {
+  all.count += page.count;
+  all.self = all.self || page.self;
+  all.peers.insert(all.peers.end(), page.peers.begin(), page.peers.end());
+}
+
+void forget_old_failures(context& ctx) {
+  std::erase_if(ctx.node.avoided_peers,
+                [&ctx](const auto& entry) { return entry.second <= ctx.now; });
+  const base::duration forget_after = ctx.node.settings.holders.backoff_limit;
+  std::erase_if(ctx.node.holder_health, [&ctx, forget_after](const auto& entry) {
+    return entry.second.avoid_until + forget_after <= ctx.now;
+  });
+  forget_leaving_notices(ctx);
+}
+
+void apply_count(nodes_counted&& all, context& ctx) {
+  // The store may have counted from a copy that is older than this node's record.
+  const std::size_t others = all.self ? all.count - 1 : all.count;
+  ctx.node.nodes = others + 1;
+  ctx.node.peers = std::move(all.peers);
+  forget_old_failures(ctx);
+  if (!all.self) {
+    ensure_registered(ctx);
+  }
+  update_holders(ctx);
+}
+
+}  // namespace
+
+void start_counting(context& ctx) {
+  start_count(ctx);
+  schedule_count(second_count_delay, ctx);
+}
+
+void on_count_due(const timer& due, context& ctx) {
+  const node_records_state& records = ctx.node.records;
+  if (due.detail != records.count_serial) {
+    return;
+  }
+  // Pages of a count that is still in progress must not be mixed with another's.
+  if (!records.counting) {
+    start_count(ctx);
+  }
+  schedule_count(ctx.node.settings.store.count_period, ctx);
+}
+
+void on_nodes_counted(const nodes_counted& page, context& ctx) {
+  node_records_state& records = ctx.node.records;
+  append_page(records.counted, page);
+  if (page.next_page_after.empty()) {
+    records.counting = false;
+    records.count_failures = 0;
+    apply_count(std::exchange(records.counted, {}), ctx);
+    return;
+  }
+  if (page.next_page_after <= records.page_after) {
+    ctx.log("node_count_does_not_advance",
+            {{"after", records.page_after}, {"next", page.next_page_after}}, true);
+    on_node_count_failed(ctx);
+    return;
+  }
+  request_page(page.next_page_after, ctx);
+}
+
+void on_node_count_failed(context& ctx) {
+  node_records_state& records = ctx.node.records;
+  records.counting = false;
+  records.counted = {};
+  ++records.count_failures;
+  schedule_count(
+      spread_backoff(record_backoff(ctx.node), records.count_failures, ctx.node), ctx);
+}
+
+void on_node_record_written(const node_record_written& event, context& ctx) {
+  node_records_state& records = ctx.node.records;
+  records.write_failures = event.written ? 0 : records.write_failures + 1;
+}
+
+}  // namespace ibis::serving
--- a/src/ibis/serving/node_test.cpp
+++ b/src/ibis/serving/node_test.cpp
@@ -17,7 +17,7 @@
 }
 
 nodes_counted make_count(bool self) {
-  return {2, self, {{"other", "10.0.0.2:1", "zone"}}};
+  return {2, self, {{"other", "10.0.0.2:1", "zone"}}, ""};
 }
 
 }  // namespace
--- a/src/ibis/serving/store_follower.cpp
+++ b/src/ibis/serving/store_follower.cpp
@@ -4,6 +4,7 @@
 #include <string>     // for string
 #include <utility>    // for move
 
+#include "ibis/serving/backoff.hpp"       // for spread_backoff
 #include "ibis/serving/holders.hpp"       // for update_holders
 #include "ibis/serving/peer_replies.hpp"  // for record_change, reply_to_waiting_peers
 #include "ibis/serving/registry.hpp"      // for apply_changes, apply_listing
@@ -13,8 +14,6 @@
 namespace ibis::serving {
 namespace {
 
-constexpr std::uint32_t max_doublings = 4;
-
 const char* name_of(store_failure failure) {
   switch (failure) {
     case store_failure::unreachable:
@@ -76,13 +75,8 @@
 
 base::milliseconds backoff(const topic_state& state, context& ctx) {
   const store_settings& settings = ctx.node.settings.store;
-  const std::uint32_t doublings = std::min(state.failures - 1, max_doublings);
-  const base::milliseconds full_delay =
-      std::min(settings.backoff * (1U << doublings), settings.backoff_limit);
-  // Jitter keeps nodes that lost the store at the same time from all returning at once.
-  return full_delay / 2 + base::milliseconds(static_cast<base::milliseconds::rep>(
-                              ctx.node.random() %
-                              static_cast<std::uint64_t>(full_delay.count() / 2 + 1)));
+  return spread_backoff({settings.backoff, settings.backoff_limit}, state.failures,
+                        ctx.node);
 }
 
 void handle_call_failure(store_topic topic, store_failure failure,
