A node's record that the store refused is written again after a delay

What was seen, by reading: a record that the store refused with 429 or 503, or whose answer was lost, was tried again by the next count at the soonest, all nodes at the same moments, so that nodes that start together are refused together again.

Each failed write is repeated after 0.5 to 8 s, half of it random. A count that lacks the record still writes it, as before.

Evidence: 920 nodes that start while the store refuses for 1 and 30 s all know each other within 19 s of its return. Without the repeat, not all did, and more than half of them wrote in the same second (node_records_test; 2 tests failed).

--- a/include/ibis/serving/node_records.hpp
+++ b/include/ibis/serving/node_records.hpp
@@ -22,8 +22,11 @@
 /// and the count is tried again after a delay.
 void on_node_count_failed(context& ctx);
 
-/// Handles the result of writing this node's record. After a failed write, the next
-/// count that lacks the record writes it again.
+/// Handles the result of writing this node's record: a failed write is tried again
+/// after a delay.
 void on_node_record_written(const node_record_written& event, context& ctx);
 
+/// Writes this node's record again when the delay after a failed write is over.
+void on_write_record_due(const timer& due, context& ctx);
+
 }  // namespace ibis::serving
--- a/include/ibis/serving/state.hpp
+++ b/include/ibis/serving/state.hpp
@@ -54,6 +54,8 @@
   /// Subject: topic.
   stale_listing_caught_up,
   count_nodes,  ///< Counts the nodes in the store. Detail: serial of the schedule.
+  /// Writes this node's record after a failed write. Detail: serial of that write.
+  write_record,
   probe_store,  ///< Probes the store if this node depends on it.
   peer_wait,    ///< A held query of a peer must be answered.
   /// Replies to another node with the shards that have answered. Subject: request.
@@ -209,6 +211,7 @@
   std::uint32_t count_failures = 0;  ///< Consecutive ones.
   /// When this node last wrote its record; nothing if it never did.
   std::optional<base::time_point> written_at;
+  std::uint64_t write_serial = 0;    ///< Identifies the latest write.
   std::uint32_t write_failures = 0;  ///< Consecutive ones.
 };
 
--- a/src/ibis/serving/node.cpp
+++ b/src/ibis/serving/node.cpp
@@ -114,6 +114,9 @@
     case timer_kind::count_nodes:
       on_count_due(due, ctx);
       break;
+    case timer_kind::write_record:
+      on_write_record_due(due, ctx);
+      break;
     case timer_kind::probe_store:
       on_probe_due(ctx);
       break;
--- a/src/ibis/serving/node_records.cpp
+++ b/src/ibis/serving/node_records.cpp
@@ -34,6 +34,7 @@
 void write_record(context& ctx) {
   node_records_state& records = ctx.node.records;
   records.written_at = ctx.now;
+  ++records.write_serial;
   ctx.out.emplace_back(register_node{ctx.node.settings.store.list_timeout});
 }
 
@@ -124,7 +125,21 @@
 
 void on_node_record_written(const node_record_written& event, context& ctx) {
   node_records_state& records = ctx.node.records;
-  records.write_failures = event.written ? 0 : records.write_failures + 1;
+  if (event.written) {
+    records.write_failures = 0;
+    return;
+  }
+  ++records.write_failures;
+  const base::milliseconds delay =
+      spread_backoff(record_backoff(ctx.node), records.write_failures, ctx.node);
+  ctx.add_timer(ctx.now + delay, timer_kind::write_record, 0, records.write_serial);
+}
+
+void on_write_record_due(const timer& due, context& ctx) {
+  const bool is_latest = due.detail == ctx.node.records.write_serial;
+  if (is_latest && !ctx.node.stop.requested) {
+    write_record(ctx);
+  }
 }
 
 }  // namespace ibis::serving
--- a/src/ibis/serving/node_records_test.cpp
+++ b/src/ibis/serving/node_records_test.cpp
@@ -130,6 +130,44 @@
   CHECK(fleet.store.writes == fleet_size);
 }
 
+// Guards against nodes that the others never count because the store refused to write
+// their records once.
+TEST_CASE("Refused records are written once the store takes them") {
+  for (const seconds refused : {seconds(1), seconds(30)}) {
+    INFO(refused.count());
+    starting_fleet fleet(fleet_size);
+    fleet.store.refuses_writes = true;
+    fleet.start_all();
+    fleet.run_until(start_time + refused);
+    fleet.store.refuses_writes = false;
+    const node_settings defaults;
+    const base::time_point bound = start_time + refused +
+                                   defaults.store.record_backoff_limit +
+                                   defaults.store.count_period;
+    fleet.run_until(bound + seconds(1));
+    CHECK(fleet.store.records.size() == fleet_size);
+    CHECK(fleet.all_know(fleet_size));
+  }
+}
+
+TEST_CASE("Refused writes are spread and become rarer") {
+  starting_fleet fleet(fleet_size);
+  fleet.store.refuses_writes = true;
+  fleet.start_all();
+  fleet.run_until(start_time + seconds(30));
+  const std::size_t before = fleet.store.writes;
+  std::size_t most = 0;
+  for (int second = 31; second <= 60; ++second) {
+    const std::size_t earlier = fleet.store.writes;
+    fleet.run_until(start_time + seconds(second));
+    most = std::max(most, fleet.store.writes - earlier);
+  }
+  // The longest delay is 8 s and half of it is random, so that each node writes at most
+  // once in 4 s, and not all in the same second.
+  CHECK(fleet.store.writes - before <= fleet_size * 30 / 4);
+  CHECK(most <= fleet_size / 2);
+}
+
 // Guards against a count that is replaced by a part of itself when a later page fails.
 TEST_CASE("A count that breaks off changes nothing and is tried again") {
   starting_fleet fleet(page_size * 3);
