--- a/src/ibis/reactor/peer_link.cpp
+++ b/src/ibis/reactor/peer_link.cpp
@@ -54,6 +54,7 @@
     on_undeliverable(node, body);
   };
   hooks.on_lost = [this](const std::string& node) {
+    delay_.forget(node);
     on_event_(serving::peer_lost{node});
   };
   hooks.on_error = [](const base::error& error) {
