A call that a closed connection had carried is not reported as never sent

What was seen, by reading: a call of the store or of a leaf (relays) that was repeated over a new connection, which was then refused, reported that nothing had been sent, although the connection before had carried the request: it may have been executed.

The error is "refused" only if no connection carried any of the call.

--- a/include/ibis/runtime/http_client.hpp
+++ b/include/ibis/runtime/http_client.hpp
@@ -26,8 +26,8 @@
 ///                  [](base::result<http::response> response) { ... });
 class http_client : public std::enable_shared_from_this<http_client> {
  public:
-  /// Gets the response, or an error: `refused` if the connection could not be opened,
-  /// so that nothing was sent; `unavailable` if the connection was lost; `protocol` if
+  /// Gets the response, or an error: `refused` if no connection could be opened, so
+  /// that nothing was sent; `unavailable` if the connection was lost; `protocol` if
   /// the peer sent something that is not an HTTP response.
   using completion_handler = std::function<void(base::result<http::response>)>;
 
@@ -66,6 +66,7 @@
   completion_handler done_;
   std::uint64_t connection_serial_ = 0;  ///< Identifies callbacks of old connections.
   bool may_retry_ = false;               ///< For a call over a reused connection.
+  bool sent_ = false;     ///< A connection may have carried part of the request.
 };
 
 }  // namespace ibis::runtime
--- a/src/ibis/runtime/http_client.cpp
+++ b/src/ibis/runtime/http_client.cpp
@@ -31,6 +31,7 @@
   input_.clear();
   http::append_request(output_, request);
   parser_.emplace(response_limits, false);
+  sent_ = false;
   const bool reused = socket_.has_value();
   may_retry_ = reused && mode == retry_mode::on_closed_connection;
   if (reused) {
@@ -48,25 +49,28 @@
 void http_client::connect() {
   ++connection_serial_;
   socket_.emplace(io_);
-  socket_->async_connect(
-      peer_, [self = shared_from_this(),
-              serial = connection_serial_](const asio::error_code& ec) {
-        if (serial != self->connection_serial_) {
-          return;
-        }
-        if (ec) {
-          self->close();
-          self->finish(base::error{base::error_code::refused, "connect",
-                                   to_text(self->peer_), ec.message()});
-          return;
-        }
-        configure_socket(*self->socket_, store_keepalive);
-        self->send();
-        self->read(serial);
-      });
+  socket_->async_connect(peer_, [self = shared_from_this(),
+                                 serial =
+                                     connection_serial_](const asio::error_code& ec) {
+    if (serial != self->connection_serial_) {
+      return;
+    }
+    if (ec) {
+      self->close();
+      // A connection before this one may have carried the request.
+      const auto code =
+          self->sent_ ? base::error_code::unavailable : base::error_code::refused;
+      self->finish(base::error{code, "connect", to_text(self->peer_), ec.message()});
+      return;
+    }
+    configure_socket(*self->socket_, store_keepalive);
+    self->send();
+    self->read(serial);
+  });
 }
 
 void http_client::send() {
+  sent_ = true;
   asio::async_write(*socket_, asio::buffer(output_),
                     [self = shared_from_this()](const asio::error_code& /*ec*/,
                                                 std::size_t /*size*/) {
