A connection whose request was answered early carries no further call

What was seen, by reading: a peer may respond before it has read the whole request. The next call then replaced the bytes that were still being written, and its own were written between them: the peer could read one call's body as another's.

Such a connection is closed after the response.

--- a/include/ibis/runtime/http_client.hpp
+++ b/include/ibis/runtime/http_client.hpp
@@ -67,6 +67,7 @@
   std::uint64_t connection_serial_ = 0;  ///< Identifies callbacks of old connections.
   bool may_retry_ = false;               ///< For a call over a reused connection.
   bool sent_ = false;     ///< A connection may have carried part of the request.
+  bool writing_ = false;  ///< The request is still being written.
 };
 
 }  // namespace ibis::runtime
--- a/src/ibis/runtime/http_client.cpp
+++ b/src/ibis/runtime/http_client.cpp
@@ -71,10 +71,14 @@
 
 void http_client::send() {
   sent_ = true;
+  writing_ = true;
   asio::async_write(*socket_, asio::buffer(output_),
-                    [self = shared_from_this()](const asio::error_code& /*ec*/,
-                                                std::size_t /*size*/) {
+                    [self = shared_from_this(), serial = connection_serial_](
+                        const asio::error_code& /*ec*/, std::size_t /*size*/) {
                       // A read is always pending, and it reports any failure.
+                      if (serial == self->connection_serial_) {
+                        self->writing_ = false;
+                      }
                     });
 }
 
@@ -109,7 +113,9 @@
     return;
   }
   http::response value = parser_->take();
-  if (value.keep_alive) {
+  // The peer may respond before it has read the whole request. The next call must not
+  // replace what is still being written.
+  if (value.keep_alive && !writing_) {
     read(serial);
   } else {
     close();
@@ -142,6 +148,7 @@
 
 void http_client::close() {
   ++connection_serial_;
+  writing_ = false;
   if (socket_) {
     asio::error_code ignored;  // The socket is discarded either way.
     socket_->close(ignored);
--- a/src/ibis/runtime/http_client_test.cpp
+++ b/src/ibis/runtime/http_client_test.cpp
@@ -82,4 +82,32 @@
   CHECK(result.error().code == base::error_code::refused);
 }
 
+// Guards against a call whose bytes mix with those of the call before, which was
+// answered before all of it was sent.
+TEST_CASE("A connection whose request was answered early is not used again") {
+  constexpr std::size_t more_than_sockets_hold = 64UL * 1024 * 1024;
+  asio::io_context peer_io;
+  tcp::acceptor acceptor = make_acceptor(peer_io);
+  asio::io_context io;
+  const auto client = std::make_shared<http_client>(io, acceptor.local_endpoint());
+  bool mixed = false;
+  std::thread peer([&] {
+    tcp::socket first = respond_to_one(peer_io, acceptor);
+    std::string rest;
+    asio::error_code ended;
+    asio::read_until(first, asio::dynamic_buffer(rest), "POST", ended);
+    mixed = !ended;
+    if (mixed) {
+      asio::write(first, asio::buffer(std::string(small_response)));
+    } else {
+      respond_to_one(peer_io, acceptor);
+    }
+  });
+  CHECK(call(io, *client, make_request(std::string(more_than_sockets_hold, 'a')))
+            .has_value());
+  CHECK(call(io, *client, make_request("")).has_value());
+  peer.join();
+  CHECK_FALSE(mixed);
+}
+
 }  // namespace ibis::runtime
