A histogram of the event loop's turns, and a log line for long ones

Each turn's processor time is counted on the metrics address (ibis_turn_processor_ms, ibis_longest_turn_processor_ms); one over 50 ms is logged as long_turn with the event that it handled first, at most once a second with the number of long turns since. Processor time, not elapsed time, so that a node that gets a quarter of a core, or was suspended, does not report others' work as its own.

--- a/include/ibis/reactor/node_loop.hpp
+++ b/include/ibis/reactor/node_loop.hpp
@@ -23,6 +23,7 @@
 #include "ibis/reactor/protocol.hpp"          // for protocol
 #include "ibis/reactor/server_session.hpp"    // for server_session
 #include "ibis/reactor/store_client.hpp"      // for store_client
+#include "ibis/reactor/turn_meter.hpp"        // for turn_meter
 #include "ibis/serving/node.hpp"              // for node_state
 
 namespace ibis::reactor {
@@ -102,6 +103,7 @@
   void stop_accepting();
   void schedule_exit(std::size_t unanswered);
   void arm_timer();
+  void run_turns();
   void wait_for_signals();
   void sweep();
   void reload_settings(bool forced);
@@ -114,6 +116,7 @@
   reload_callback reload_settings_;
   serving::node_state node_;
   node_metrics metrics_;
+  turn_meter turns_;
   asio::steady_timer timer_;
   asio::steady_timer sweep_timer_;
   asio::signal_set signals_;
--- a/include/ibis/reactor/node_metrics.hpp
+++ b/include/ibis/reactor/node_metrics.hpp
@@ -6,9 +6,10 @@
 #include <map>      // for map
 #include <string>   // for string
 
-#include "ibis/runtime/histogram.hpp"  // for latency_histogram
-#include "ibis/serving/effect.hpp"     // for record_request_end
-#include "ibis/serving/state.hpp"      // for node_state
+#include "ibis/reactor/turn_meter.hpp"  // for turn_meter
+#include "ibis/runtime/histogram.hpp"   // for latency_histogram
+#include "ibis/serving/effect.hpp"      // for record_request_end
+#include "ibis/serving/state.hpp"       // for node_state
 
 namespace ibis::reactor {
 
@@ -24,10 +25,10 @@
 /// outcomes only.
 void record(node_metrics& metrics, const serving::record_request_end& request);
 
-/// Formats the metrics, together with the node's own counters and gauges and the CPU
-/// time and memory of the process.
+/// Formats the metrics, together with the node's own counters and gauges, the turns of
+/// its event loop, and the CPU time and memory of the process.
 /// @return The Prometheus text format.
-std::string format_metrics(const node_metrics& metrics, const serving::node_state& node,
-                           base::time_point now);
+std::string format_metrics(const node_metrics& metrics, const turn_meter& turns,
+                           const serving::node_state& node, base::time_point now);
 
 }  // namespace ibis::reactor
--- a/include/ibis/serving/event.hpp
+++ b/include/ibis/serving/event.hpp
@@ -229,4 +229,7 @@
                  shards_undeliverable, peer_lost, settings_changed, store_probed,
                  stop_requested, tick>;
 
+/// @return The name of an event's type, for logs.
+const char* event_name(const event& value);
+
 }  // namespace ibis::serving
--- a/src/ibis/reactor/node_loop.cpp
+++ b/src/ibis/reactor/node_loop.cpp
@@ -231,10 +231,13 @@
 }
 
 http::response node_loop::make_metrics_response() {
-  return text_response(status_ok, format_metrics(metrics_, node_, base::clock::now()));
+  turns_.name_turn("metrics");
+  return text_response(status_ok,
+                       format_metrics(metrics_, turns_, node_, base::clock::now()));
 }
 
 void node_loop::dispatch_event(serving::event value) {
+  turns_.name_turn(serving::event_name(value));
   event_queue_.push_back(std::move(value));
   if (draining_queue_) {
     return;
@@ -433,6 +436,7 @@
 }
 
 void node_loop::sweep() {
+  turns_.name_turn("sweep");
   if (++sweep_count_ % sweeps_between_reloads == 0) {
     reload_settings(false);
   }
@@ -454,6 +458,15 @@
   });
 }
 
+void node_loop::run_turns() {
+  while (io_.run_one() > 0) {
+    const auto line = turns_.end_turn(thread_processor_time(), base::clock::now());
+    if (line) {
+      write_log(*line);
+    }
+  }
+}
+
 std::size_t node_loop::run() {
   signals_.add(SIGTERM);
   signals_.add(SIGINT);
@@ -463,7 +476,7 @@
   serving::effects effects = serving::start(node_, base::clock::now());
   execute(effects);
   arm_timer();
-  io_.run();
+  run_turns();
   flush_log();
   return unanswered_requests_;
 }
--- a/src/ibis/reactor/node_metrics.cpp
+++ b/src/ibis/reactor/node_metrics.cpp
@@ -53,17 +53,34 @@
                     [](const serving::shard_block& block) { return block.held_here; }));
 }
 
-void write_histogram(std::ostringstream& out, const std::string& route,
+/// @param label As "name=\"value\""; empty for none.
+void write_histogram(std::ostringstream& out, const std::string& name,
+                     const std::string& label,
                      const runtime::latency_histogram& histogram) {
-  const std::string name = "ibis_request_latency_ms";
-  const std::string label = "route=\"" + escape_label(route) + '"';
+  const std::string labels = label.empty() ? "" : '{' + label + '}';
+  const std::string before_bound = label.empty() ? "" : label + ',';
   for (std::size_t i = 0; i < runtime::bucket_bounds_ms.size(); ++i) {
-    out << name << "_bucket{" << label << ",le=\"" << runtime::bucket_bounds_ms[i]
+    out << name << "_bucket{" << before_bound << "le=\"" << runtime::bucket_bounds_ms[i]
         << "\"} " << histogram.cumulative_count(i) << '\n';
   }
-  out << name << "_bucket{" << label << ",le=\"+Inf\"} " << histogram.count() << '\n';
-  out << name << "_sum{" << label << "} " << histogram.sum_ms() << '\n';
-  out << name << "_count{" << label << "} " << histogram.count() << '\n';
+  out << name << "_bucket{" << before_bound << "le=\"+Inf\"} " << histogram.count()
+      << '\n';
+  out << name << "_sum" << labels << ' ' << histogram.sum_ms() << '\n';
+  out << name << "_count" << labels << ' ' << histogram.count() << '\n';
+}
+
+void write_latencies(std::ostringstream& out, const node_metrics& metrics) {
+  out << "# TYPE ibis_request_latency_ms histogram\n";
+  for (const auto& [route, histogram] : metrics.latencies) {
+    write_histogram(out, "ibis_request_latency_ms",
+                    "route=\"" + escape_label(route) + '"', histogram);
+  }
+}
+
+void write_turns(std::ostringstream& out, const turn_meter& turns) {
+  out << "# TYPE ibis_turn_processor_ms histogram\n";
+  write_histogram(out, "ibis_turn_processor_ms", "", turns.lengths());
+  write_gauge(out, "longest_turn_processor_ms", turns.lengths().max_ms());
 }
 
 void write_counters(std::ostringstream& out, const serving::node_counters& count) {
@@ -115,8 +132,8 @@
   }
 }
 
-std::string format_metrics(const node_metrics& metrics, const serving::node_state& node,
-                           base::time_point now) {
+std::string format_metrics(const node_metrics& metrics, const turn_meter& turns,
+                           const serving::node_state& node, base::time_point now) {
   std::ostringstream out;
   out << "# TYPE ibis_requests_ended_total counter\n";
   for (std::size_t i = 0; i < metrics.outcomes.size(); ++i) {
@@ -138,10 +155,8 @@
   write_gauge(out, "shard_blocks", static_cast<double>(node.holders.blocks.size()));
   write_gauge(out, "shard_blocks_held", static_cast<double>(count_held_blocks(node)));
   write_process(out);
-  out << "# TYPE ibis_request_latency_ms histogram\n";
-  for (const auto& [route, histogram] : metrics.latencies) {
-    write_histogram(out, route, histogram);
-  }
+  write_turns(out, turns);
+  write_latencies(out, metrics);
   return out.str();
 }
 
