A part is reduced to the records that can be in the answer as it arrives

Cause: parts were stored as received. Now each is cut to the route's greatest records when it arrives; the greatest of all are among them, so that the answer is the same.

--- a/src/ibis/serving/leaf_events.cpp
+++ b/src/ibis/serving/leaf_events.cpp
@@ -6,6 +6,7 @@
 #include "ibis/serving/attempt.hpp"            // for on_attempt_failed, answer_if_ready
 #include "ibis/serving/concurrency_limit.hpp"  // for update_concurrency_limit
 #include "ibis/serving/connections.hpp"  // for close, remove_connection, mark_idle
+#include "ibis/serving/merge.hpp"        // for merge_records
 #include "ibis/serving/registry.hpp"     // for mark_leaving
 #include "ibis/serving/request_completion.hpp"  // for forward_leaf_answer
 #include "ibis/serving/waiting_tasks.hpp"       // for dispatch_waiting_tasks
@@ -53,6 +54,12 @@
     forward_leaf_answer(pending, answer, ctx);
     return;
   }
+  // A leaf may send more records than can be in the answer. The merge of all parts is
+  // one turn of the event loop.
+  const std::size_t top = pending.route->top;
+  if (answer->body.size() > top * record_bytes) {
+    answer->body = merge_records({answer->body}, top);
+  }
   task.part = answer;
   task.done = true;
   ++pending.parts;
--- a/tests/serving_faults_test.cpp
+++ b/tests/serving_faults_test.cpp
@@ -3,7 +3,8 @@
 #include <map>               // for map
 #include <set>               // for set
 
-#include "serving_fleet.hpp"  // for serving_fleet
+#include "ibis/serving/merge.hpp"  // for record_bytes
+#include "serving_fleet.hpp"       // for serving_fleet
 
 namespace ibis::tests {
 namespace {
@@ -459,4 +460,25 @@
   CHECK(fleet.aborted_requests == 0U);
 }
 
+// Guards against a merge that takes a fifth of a second, and memory for all that the
+// leafs sent, because each of many leafs sends a megabyte of records.
+TEST_CASE("A part is reduced to the records that can be in the answer as it arrives") {
+  serving_fleet fleet(1);
+  populate(fleet);
+  for_each_leaf_of(fleet, "s3", [](fleet_leaf& leaf) {
+    leaf.reaction = [](std::mt19937_64&) { return leaf_reaction::ignore; };
+  });
+  const base::caller_id caller = fleet.send_request("r1", "/q/");
+  fleet.run_for(milliseconds(30));
+  const auto found = fleet.node.pending_requests.find(caller);
+  REQUIRE(found != fleet.node.pending_requests.end());
+  CHECK(found->second.parts == 3);
+  const std::size_t limit = found->second.route->top * serving::record_bytes;
+  for (const serving::task_state& task : found->second.tasks) {
+    if (task.part) {
+      CHECK(task.part->body.size() == limit);
+    }
+  }
+}
+
 }  // namespace ibis::tests
