A node's name is escaped in its log lines

What would be seen (read): a name with a quote, a backslash or a percent sign made each line something else than JSON, since it was part of spdlog's pattern. It is a value like all others now.

--- a/include/ibis/reactor/node_log.hpp
+++ b/include/ibis/reactor/node_log.hpp
@@ -18,6 +18,10 @@
   output_limits limits;
 };
 
+/// Formats a line's members of the JSON object, all but its time and level. Fields
+/// without a value are left out.
+std::string format_log_members(const std::string& node, const serving::log_line& line);
+
 /// Initializes the log. Lines that are written earlier are discarded.
 void set_up_log(const node_log_settings& settings);
 
--- a/src/ibis/reactor/node_log.cpp
+++ b/src/ibis/reactor/node_log.cpp
@@ -35,6 +35,7 @@
 };
 
 struct log_state {
+  std::string node;
   std::shared_ptr<bounded_sink> sink;
   std::shared_ptr<spdlog::logger> logger;
 };
@@ -60,8 +61,12 @@
              .dump(-1, ' ', true, nlohmann::json::error_handler_t::replace);
 }
 
-std::string format(const serving::log_line& line) {
-  std::string text = R"("event":)";
+}  // namespace
+
+std::string format_log_members(const std::string& node, const serving::log_line& line) {
+  std::string text = R"("node":)";
+  append_json_string(text, node);
+  text += R"(,"event":)";
   append_json_string(text, line.name);
   for (const serving::log_field& field : line.fields) {
     if (field.value.empty()) {
@@ -75,17 +80,14 @@
   return text;
 }
 
-}  // namespace
-
 void set_up_log(const node_log_settings& settings) {
+  process_log.node = settings.node;
   process_log.sink = std::make_shared<bounded_sink>(settings.limits);
   process_log.logger = std::make_shared<spdlog::logger>("node", process_log.sink);
   process_log.logger->set_level(settings.log_requests ? spdlog::level::info
                                                       : spdlog::level::warn);
-  process_log.logger->set_pattern(
-      R"({"time":"%Y-%m-%dT%H:%M:%S.%eZ","level":"%l","node":")" + settings.node +
-          R"(",%v})",
-      spdlog::pattern_time_type::utc);
+  process_log.logger->set_pattern(R"({"time":"%Y-%m-%dT%H:%M:%S.%eZ","level":"%l",%v})",
+                                  spdlog::pattern_time_type::utc);
 }
 
 void write_log(const serving::log_line& line) {
@@ -94,7 +96,8 @@
   }
   const auto level = line.warning ? spdlog::level::warn : spdlog::level::info;
   if (process_log.logger->should_log(level)) {
-    process_log.logger->log(level, spdlog::string_view_t(format(line)));
+    process_log.logger->log(
+        level, spdlog::string_view_t(format_log_members(process_log.node, line)));
   }
 }
 
