An error after a HEAD request states its length

What callers saw: on a connection whose last request was HEAD, the error for a broken request had no Content-Length, so that its end could not be told.

Cause: the session still held the method of the request before.

--- a/src/ibis/reactor/server_session.cpp
+++ b/src/ibis/reactor/server_session.cpp
@@ -138,6 +138,8 @@
   http::response value;
   value.status = status;
   value.keep_alive = false;
+  // The method of a request that was not read whole is unknown.
+  for_head_request_ = false;
   enter_phase(phase::handling_request);
   answer(std::move(value));
 }
