A timestamp with text after it, or an odd offset, is refused

What would be seen (read): a time of leaving such as "...Zulu" or "+15:00" was taken, for another time than was meant.

--- a/src/ibis/config/parse.cpp
+++ b/src/ibis/config/parse.cpp
@@ -232,10 +232,12 @@
   int offset_hours = 0;
   int offset_minutes = 0;
   // NOLINTBEGIN(cert-err34-c,cppcoreguidelines-pro-type-vararg)
-  const int fields_read =
-      std::sscanf(text.c_str(), "%4d-%2d-%2dT%2d:%2d:%2d%c%2d:%2d", &fields.tm_year,
-                  &fields.tm_mon, &fields.tm_mday, &fields.tm_hour, &fields.tm_min,
-                  &fields.tm_sec, &sign, &offset_hours, &offset_minutes);
+  int size_with_utc = 0;
+  int size_with_offset = 0;
+  const int fields_read = std::sscanf(
+      text.c_str(), "%4d-%2d-%2dT%2d:%2d:%2d%c%n%2d:%2d%n", &fields.tm_year,
+      &fields.tm_mon, &fields.tm_mday, &fields.tm_hour, &fields.tm_min, &fields.tm_sec,
+      &sign, &size_with_utc, &offset_hours, &offset_minutes, &size_with_offset);
   // NOLINTEND(cert-err34-c,cppcoreguidelines-pro-type-vararg)
   constexpr int utc_field_count = 7;
   constexpr int offset_field_count = 9;
@@ -245,6 +247,17 @@
   if (!utc && !with_offset) {
     return invalid_timestamp(text);
   }
+  const int size_read = utc ? size_with_utc : size_with_offset;
+  if (static_cast<std::size_t>(size_read) != text.size()) {
+    return invalid_timestamp(text);
+  }
+  // The widest offsets in use are from -12 to +14 hours.
+  constexpr int max_offset_hours = 14;
+  constexpr int max_offset_minutes = 59;
+  if (offset_hours < 0 || offset_hours > max_offset_hours || offset_minutes < 0 ||
+      offset_minutes > max_offset_minutes) {
+    return invalid_timestamp(text);
+  }
   constexpr int tm_base_year = 1900;
   fields.tm_year -= tm_base_year;
   fields.tm_mon -= 1;
@@ -253,7 +266,7 @@
   if (fields.tm_mon != parsed_fields.tm_mon ||
       fields.tm_mday != parsed_fields.tm_mday ||
       fields.tm_hour != parsed_fields.tm_hour ||
-      fields.tm_min != parsed_fields.tm_min) {
+      fields.tm_min != parsed_fields.tm_min || fields.tm_sec != parsed_fields.tm_sec) {
     return invalid_timestamp(text);
   }
   const auto offset =
--- a/src/ibis/config/parse_test.cpp
+++ b/src/ibis/config/parse_test.cpp
@@ -231,5 +231,26 @@
   }
 }
 
+TEST_CASE("A timestamp is read as UTC or with its offset") {
+  CHECK(parse_timestamp("1970-01-01T00:00:01Z").value() == std::chrono::seconds(1));
+  CHECK(parse_timestamp("1970-01-01T01:00:01+01:00").value() ==
+        std::chrono::seconds(1));
+  CHECK(parse_timestamp("1969-12-31T12:30:00-11:30").value() ==
+        std::chrono::milliseconds(0));
+}
+
+// Guards against a time of leaving that is taken for another one than was written.
+TEST_CASE("A timestamp with anything odd in it is refused") {
+  for (const char* text :
+       {"2026-12-06T23:59:00Zulu", "2026-12-06T23:59:00Z ",
+        "2026-12-06T23:59:00+01:00x", "2026-12-06T23:59:60Z", "2026-12-06T23:59:99Z",
+        "2026-12-06T23:59:00+15:00", "2026-12-06T23:59:00+01:60",
+        "2026-12-06T23:59:00+-1:00", "2026-12-06T24:00:00Z", "2026-02-30T00:00:00Z",
+        "2026-12-06T23:59:00", ""}) {
+    INFO(text);
+    CHECK_FALSE(parse_timestamp(text));
+  }
+}
+
 }  // namespace
 }  // namespace ibis::config
