An error names the overlay's file only if the overlay wrote that part

What operators saw: an error under services.ab named the file of an overlay that adds services.a, since paths were compared by their first characters. Beside it, a list with an invalid item leaves its target as it was (no settings are used when one has an error, so it was not seen).

--- a/src/ibis/config/parse_test.cpp
+++ b/src/ibis/config/parse_test.cpp
@@ -1,5 +1,6 @@
 #include "ibis/config/parse.hpp"
 
+#include <algorithm>         // for find_if
 #include <catch2/catch.hpp>  // for TEST_CASE, CHECK
 
 #include "ibis/config/manifest.hpp"  // for split_parts, join_parts
@@ -145,6 +146,19 @@
   CHECK(parsed.value.zones.size() == 1);
 }
 
+// Guards against an error that is looked for in the wrong file.
+TEST_CASE("An error is not in an overlay that adds a sibling with a shorter name") {
+  const document base = parse_text(with_replacement("slots: 3", "slots: 0"));
+  const document overlay = parse_text("services: {registry: {tenant: u}}", "over.yaml");
+  const auto parsed = parse_configuration(merge_overlay(base, overlay));
+  const std::string path = "services.registry-search.leaf_defaults.slots";
+  const auto error =
+      std::find_if(parsed.errors.begin(), parsed.errors.end(),
+                   [&path](const document_error& value) { return value.path == path; });
+  REQUIRE(error != parsed.errors.end());
+  CHECK(error->file == "base.yaml");
+}
+
 TEST_CASE("An error in an overlay names the overlay's file") {
   const document overlay = parse_text(
       "services: {registry-search: {policy: {min_coverage: 7}}}", "site.yaml");
--- a/src/ibis/config/reader.cpp
+++ b/src/ibis/config/reader.cpp
@@ -36,6 +36,15 @@
   return path.empty() ? key : path + '.' + key;
 }
 
+/// Whether a path is another one or lies below it.
+bool is_within(const std::string& path, const std::string& other) {
+  if (path.compare(0, other.size(), other) != 0) {
+    return false;
+  }
+  return path.size() == other.size() || path[other.size()] == '.' ||
+         path[other.size()] == '[';
+}
+
 void merge_into(YAML::Node target, const YAML::Node& overlay, const std::string& path,
                 document& merged, const std::string& file) {
   for (const auto& entry : overlay) {
@@ -126,7 +135,7 @@
     error.line = node.Mark().line + 1;
   }
   for (const auto& [overlaid_path, file] : source_->overlay_sources) {
-    if (path.compare(0, overlaid_path.size(), overlaid_path) == 0) {
+    if (is_within(path, overlaid_path)) {
       error.file = file;
     }
   }
@@ -272,14 +281,15 @@
     add_error(key, "found " + describe_value(found) + "; expected a list of strings");
     return;
   }
-  target.clear();
+  std::vector<std::string> items;
   for (const auto& item : found) {
     if (!item.IsScalar()) {
       add_error(key, "expected a list of strings");
       return;
     }
-    target.push_back(item.Scalar());
+    items.push_back(item.Scalar());
   }
+  target = std::move(items);
 }
 
 void reader::report_unknown_keys() {
