A result without requests can be stored, read and compared

What operators saw: `ibis_load compare` with an empty result ended by an exception (std::out_of_range); and such a result was written with "series": null, which could not be read again.

--- a/include/ibis/load/result.hpp
+++ b/include/ibis/load/result.hpp
@@ -59,7 +59,8 @@
 /// The measurements of one run of an experiment.
 struct experiment_result {
   std::string name;
-  /// Summaries by series name; the series "all" holds every request.
+  /// Summaries by series name; the series "all" holds every request. None without
+  /// requests.
   std::map<std::string, series_summary> series;
   std::vector<time_slice> slices;
   /// Leaf requests beyond the needed ones, as a share of these: 0.1 is 10% more.
@@ -71,6 +72,9 @@
   std::map<std::string, std::string> event_marks;
 };
 
+/// @return The summary of all requests, which is empty if there were none.
+const series_summary& overall(const experiment_result& result);
+
 /// Length of a `time_slice`.
 inline constexpr base::milliseconds time_slice_length{500};
 
--- a/src/ibis/load/load_test.cpp
+++ b/src/ibis/load/load_test.cpp
@@ -88,5 +88,15 @@
   CHECK(html.find(">nan") == std::string::npos);
 }
 
+// Guards against a comparison that ends the process because one result is empty.
+TEST_CASE("A report of a result without requests has empty plots") {
+  const auto parsed = parse_result(serialize_result(summarize("none", {})));
+  REQUIRE(parsed);
+  CHECK(overall(parsed.value()).requests == 0);
+  const std::string html = render_html_report({parsed.value()});
+  CHECK(html.find("<svg") != std::string::npos);
+  CHECK(html.find(">nan") == std::string::npos);
+}
+
 }  // namespace
 }  // namespace ibis::load
--- a/src/ibis/load/report.cpp
+++ b/src/ibis/load/report.cpp
@@ -139,7 +139,7 @@
 double latency_axis_end(const std::vector<experiment_result>& results) {
   double slowest_ms = 1;
   for (const experiment_result& result : results) {
-    slowest_ms = std::max(slowest_ms, result.series.at("all").latency.max_ms);
+    slowest_ms = std::max(slowest_ms, overall(result).latency.max_ms);
   }
   return next_power_of_ten(slowest_ms);
 }
@@ -170,7 +170,7 @@
   std::vector<line> lines;
   for (std::size_t i = 0; i < results.size(); ++i) {
     line plotted_line{results[i].name, colours[i % colours.size()], {}};
-    const auto& percentiles = results[i].series.at("all").latency_percentiles_ms;
+    const auto& percentiles = overall(results[i]).latency_percentiles_ms;
     for (std::size_t percent = 0; percent < percentiles.size(); ++percent) {
       plotted_line.points.push_back(
           {static_cast<double>(percent), percentiles[percent]});
--- a/src/ibis/load/result.cpp
+++ b/src/ibis/load/result.cpp
@@ -101,6 +101,12 @@
 
 }  // namespace
 
+const series_summary& overall(const experiment_result& result) {
+  static const series_summary none;
+  const auto found = result.series.find("all");
+  return found == result.series.end() ? none : found->second;
+}
+
 experiment_result summarize(const std::string& name,
                             const std::vector<observation>& observations) {
   experiment_result result;
@@ -130,7 +136,8 @@
                    {"extra_load", result.extra_load},
                    {"repeated", result.repeated_submits},
                    {"ran_not_run", result.misreported_submits},
-                   {"marks", result.event_marks}};
+                   {"marks", result.event_marks},
+                   {"series", json::object()}};
   for (const auto& [key, series] : result.series) {
     document["series"][key] = series_to_json(series);
   }
--- a/src/programs/ibis_load.cpp
+++ b/src/programs/ibis_load.cpp
@@ -66,8 +66,8 @@
       !write_file(arguments.report_file, load::render_html_report({result}))) {
     return report_error("cannot write file " + arguments.report_file);
   }
-  const bool failed = result.series.count("all") == 0 ||
-                      result.series.at("all").wrong_answers > 0 ||
+  const bool failed = result.series.empty() ||
+                      load::overall(result).wrong_answers > 0 ||
                       result.repeated_submits > 0 || result.misreported_submits > 0;
   return failed ? 1 : 0;
 }
