--- a/scripts/install.sh
+++ b/scripts/install.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 packages=(g++ cmake ninja-build pkg-config clang-format clang-tidy curl libasio-dev
   libflatbuffers-dev libcpp-httplib-dev libyaml-cpp-dev libcli11-dev libspdlog-dev
-  libboost-dev catch2 nlohmann-json3-dev libxxhash-dev)
+  libboost-dev catch2 nlohmann-json3-dev libxxhash-dev tzdata)
 missing=()
 for package in "${packages[@]}"; do
   dpkg -s "$package" >/dev/null 2>&1 || missing+=("$package")
--- a/src/programs/ctl_commands.cpp
+++ b/src/programs/ctl_commands.cpp
@@ -2,8 +2,7 @@
 
 #include <httplib.h>  // for Client
 
-#include <cstdlib>            // for getenv, setenv
-#include <ctime>              // for mktime, tzset
+#include <cstdlib>            // for getenv
 #include <iostream>           // for cout, cerr
 #include <nlohmann/json.hpp>  // for json
 #include <random>             // for random_device
@@ -12,6 +11,7 @@
 #include "ibis/base/uuid.hpp"                // for make_uuid_v7
 #include "ibis/config/parse.hpp"             // for parse_configuration
 #include "ibis/control/apply.hpp"            // for apply_plan
+#include "ibis/control/leave_by.hpp"         // for parse_leave_by
 #include "ibis/runtime/address.hpp"          // for parse_address
 #include "ibis/runtime/platform_client.hpp"  // for call_platform_sync
 
@@ -282,34 +282,6 @@
   return control::make_plan(before.value(), desired);
 }
 
-/// Parses the `--by` time, which has a UTC offset unless a time zone is named.
-base::result<base::milliseconds> parse_leave_by(const ctl_options& options) {
-  if (options.time_zone.empty()) {
-    return config::parse_timestamp(options.leave_by);
-  }
-  const auto as_utc = config::parse_timestamp(options.leave_by + "Z");
-  if (!as_utc) {
-    return as_utc.error();
-  }
-  setenv("TZ", options.time_zone.c_str(), 1);  // NOLINT(concurrency-mt-unsafe)
-  tzset();
-  std::time_t wall_time =
-      std::chrono::duration_cast<std::chrono::seconds>(as_utc.value()).count();
-  std::tm calendar_time{};
-  gmtime_r(&wall_time, &calendar_time);
-  calendar_time.tm_isdst = -1;
-  const std::time_t unix_time = std::mktime(&calendar_time);
-  const bool unknown_zone =
-      std::string(tzname[0]) == "UTC" && options.time_zone != "UTC";
-  if (unix_time < 0 || unknown_zone) {
-    return base::error{
-        base::error_code::invalid_input, "parse time zone", "",
-        "'" + options.time_zone +
-            "' is not a known time zone; expected a name such as Europe/Prague"};
-  }
-  return base::milliseconds(std::chrono::seconds(unix_time));
-}
-
 /// Adds an upstream or VM to those that are leaving, or with `--undo` removes it;
 /// changes nothing else in the configuration.
 int update_leaving(const ctl_options& options, base::milliseconds leave_by) {
@@ -523,7 +495,7 @@
   if (options.undo) {
     return update_leaving(options, base::milliseconds(0));
   }
-  const auto leave_by = parse_leave_by(options);
+  const auto leave_by = control::parse_leave_by(options.leave_by, options.time_zone);
   if (!leave_by) {
     return report_error(options, leave_by.error());
   }
