--- a/include/ibis/serving/state.hpp
+++ b/include/ibis/serving/state.hpp
@@ -165,7 +165,7 @@
 };
 
 /// What a node is doing to follow a topic.
-enum class topic_phase : std::uint8_t { listing, watching, waiting };
+enum class topic_phase : std::uint8_t { listing, watching };
 
 /// Recent changes of a topic, which a node that watches the store keeps for its peers.
 struct topic_history {
