A member that is removed makes no other one miss its probe

What would be seen (read): the members' probes go round a list. Removing an expired member before the next one moved the list but not the position, so that one member was not probed in that round and its failure noticed a round later.

--- a/include/ibis/policy/membership.hpp
+++ b/include/ibis/policy/membership.hpp
@@ -13,8 +13,9 @@
 #include <unordered_map>  // for unordered_map
 #include <vector>         // for vector
 
-#include "ibis/policy/context.hpp"  // for context
-#include "ibis/wire/messages.hpp"   // for member
+#include "ibis/policy/context.hpp"      // for context
+#include "ibis/policy/probe_order.hpp"  // for probe_order
+#include "ibis/wire/messages.hpp"       // for member
 
 namespace ibis::policy {
 
@@ -58,8 +59,7 @@
   membership_tuning tuning;
   wire::member self;
   std::map<std::string, member_state> members;  ///< All others, by node name.
-  std::vector<std::string> probe_order;  ///< Members in the order they are probed in.
-  std::size_t probe_order_position = 0;  ///< Index of the next member to probe.
+  probe_order probes;                           ///< Of all members.
   std::unordered_map<std::uint64_t, pending_probe> pending_probes;  ///< By sequence.
   std::set<std::string> pending_gossip;  ///< Members whose record is still gossiped.
   bool gossip_scheduled = false;         ///< Whether the gossip timer is running.
--- a/src/ibis/policy/membership.cpp
+++ b/src/ibis/policy/membership.cpp
@@ -101,17 +101,6 @@
   gossip(membership, membership.tuning.urgent_gossip_fanout, "", ctx);
 }
 
-/// Inserts a member into the probe order at a position that differs from node to node.
-/// All nodes see others join in much the same order; without this they would all probe
-/// a new member at the same time.
-void insert_into_probe_order(membership_state& membership, const std::string& node) {
-  const std::size_t position = base::hash64(membership.self.node + ' ' + node) %
-                               (membership.probe_order.size() + 1);
-  membership.probe_order.insert(
-      membership.probe_order.begin() + static_cast<std::ptrdiff_t>(position), node);
-  membership.probe_order_position += position < membership.probe_order_position ? 1 : 0;
-}
-
 /// Returns whether an update must spread at once. This holds for a failure, and for the
 /// refutation of one, which has to arrive before others declare the member dead.
 bool is_urgent(const member_state& known, const member& update) {
@@ -133,7 +122,7 @@
   const auto known = membership.members.find(update.node);
   if (known == membership.members.end()) {
     membership.members[update.node].record = update;
-    insert_into_probe_order(membership, update.node);
+    membership.probes.add(membership.self.node, update.node);
   } else if (supersedes(update, known->second.record)) {
     if (is_urgent(known->second, update)) {
       schedule_gossip(membership, ctx);
@@ -203,22 +192,15 @@
                    std::move(message));
 }
 
-/// Returns the next member to probe. Each round visits all members in shuffled order,
-/// so that each one is probed within a bounded time.
+/// Returns the next live member to probe.
 std::optional<std::string> next_probe_target(membership_state& membership,
                                              context& ctx) {
-  for (std::size_t attempt = 0; attempt <= membership.probe_order.size(); ++attempt) {
-    if (membership.probe_order_position >= membership.probe_order.size()) {
-      membership.probe_order_position = 0;
-      std::shuffle(membership.probe_order.begin(), membership.probe_order.end(),
-                   ctx.shared.random);
-    }
-    if (membership.probe_order.empty()) {
+  for (std::size_t attempt = 0; attempt <= membership.probes.size(); ++attempt) {
+    const auto node = membership.probes.next(ctx.shared.random);
+    if (!node) {
       return std::nullopt;
     }
-    const std::string node = membership.probe_order[membership.probe_order_position];
-    ++membership.probe_order_position;
-    const auto found = membership.members.find(node);
+    const auto found = membership.members.find(*node);
     if (found != membership.members.end() && is_live(found->second.record)) {
       return node;
     }
@@ -277,9 +259,7 @@
   for (const std::string& node : expired) {
     membership.members.erase(node);
     membership.pending_gossip.erase(node);
-    membership.probe_order.erase(
-        std::remove(membership.probe_order.begin(), membership.probe_order.end(), node),
-        membership.probe_order.end());
+    membership.probes.remove(node);
   }
 }
 
