Nodes that others may not count yet get no slack of the extra requests

Hypotheses: nodes that start and don't count each other yet; holders' and nodes' sends counted apart (none on that site); a stopped node's share.

Now a new record gives a share of the slack only after the next count of each other node, and then more and more during the window; one from before a restart at once, as before. A share is worked out for the most nodes counted during the window, since those that left spent theirs in it. While the whole system starts, nodes count each other every 3 s. Each count logs the budgets of which half or more is spent, with the number of nodes, so that one replay shows whose sum is over.

Not covered: a node that can't count for long while others join (its share stays that of its last count).

--- a/include/ibis/serving/connection_quota.hpp
+++ b/include/ibis/serving/connection_quota.hpp
@@ -30,9 +30,8 @@
 connection_quota connection_quota_of(const node_state& node, const std::string& service,
                                      base::time_point now);
 
-/// @return This node's share of the extra-request budget of all nodes for a service. A
-/// process that has just started gets little slack, since it does not know what it
-/// spent before a restart.
+/// @return This node's share of the extra-request budget of all nodes for a service.
+/// See `usable_slack` for when that includes a share of the slack.
 extra_budget_settings service_budget(const node_state& node, const std::string& service,
                                      base::time_point now);
 
--- a/include/ibis/serving/extra_budget.hpp
+++ b/include/ibis/serving/extra_budget.hpp
@@ -29,6 +29,10 @@
   /// Counts one extra request if the allowance permits it.
   /// @return False if the allowance is exhausted.
   bool try_spend(base::time_point now, const extra_budget_settings& settings);
+  /// @return The extra requests counted in the window.
+  std::uint32_t spent(base::time_point now, const extra_budget_settings& settings);
+  /// @return The extra requests that are allowed in the window.
+  double allowed(base::time_point now, const extra_budget_settings& settings);
   /// @return The unused share of the window's allowance, from 0 to 1.
   double remaining_share(base::time_point now, const extra_budget_settings& settings);
 
--- a/include/ibis/serving/node_records.hpp
+++ b/include/ibis/serving/node_records.hpp
@@ -7,6 +7,15 @@
 
 namespace ibis::serving {
 
+/// @return By how many nodes a budget over a time window is shared: the most that were
+/// counted during the window, since what nodes that have left spent lies within it.
+std::size_t nodes_sharing_budget(const node_state& node, base::time_point now);
+
+/// @return The part of its share of the slack that this node may use, from 0 to 1: none
+/// until all other nodes count it, and then more and more during the budget's window,
+/// since it may have spent its share just before a restart.
+double usable_slack(const node_state& node, base::time_point now);
+
 /// Starts the first count. It shows whether this node's record exists from before a
 /// restart.
 void start_counting(context& ctx);
--- a/include/ibis/serving/state.hpp
+++ b/include/ibis/serving/state.hpp
@@ -202,6 +202,12 @@
   topic_history history;
 };
 
+/// The number of nodes that a count replaced.
+struct earlier_count {
+  std::size_t nodes = 0;
+  base::time_point replaced_at{};
+};
+
 /// The count of the nodes' records, and the writing of this node's own.
 struct node_records_state {
   bool counting = false;             ///< A count is in progress.
@@ -209,6 +215,13 @@
   std::string page_after;            ///< Where the requested page starts.
   std::uint64_t count_serial = 0;    ///< Identifies the latest schedule of a count.
   std::uint32_t count_failures = 0;  ///< Consecutive ones.
+  /// Numbers that were replaced within the window of the budget of extra requests.
+  std::vector<earlier_count> earlier;
+  bool counted_before = false;  ///< At least one count was completed.
+  /// From when on this node takes part in the slack of the budgets of extra requests,
+  /// more and more during a window; may lie ahead. Nothing while its record is not
+  /// counted.
+  std::optional<base::time_point> slack_from;
   /// When this node last wrote its record; nothing if it never did.
   std::optional<base::time_point> written_at;
   std::uint64_t write_serial = 0;    ///< Identifies the latest write.
--- a/src/ibis/serving/connection_quota.cpp
+++ b/src/ibis/serving/connection_quota.cpp
@@ -1,9 +1,10 @@
 #include "ibis/serving/connection_quota.hpp"
 
-#include <algorithm>  // for clamp, max, min
+#include <algorithm>  // for clamp, max
 
-#include "ibis/serving/holders.hpp"  // for find_block, holds_for_others
-#include "ibis/serving/state.hpp"    // for node_state
+#include "ibis/serving/holders.hpp"       // for find_block, holds_for_others
+#include "ibis/serving/node_records.hpp"  // for nodes_sharing_budget, usable_slack
+#include "ibis/serving/state.hpp"         // for node_state
 
 namespace ibis::serving {
 namespace {
@@ -99,15 +100,14 @@
   constexpr double holders_share =
       0.8;  ///< Of the slack; the other nodes get the rest.
   extra_budget_settings own = node.settings.budget;
-  const double age = base::to_ms(now - node.started_at) / base::to_ms(own.window);
   own.ratio *= used_share;
-  own.slack *= used_share * std::min(1.0, age);
+  own.slack *= used_share * usable_slack(node, now);
   if (holds_for_others(node, service, now)) {
     own.slack *= holders_share / static_cast<double>(count_holders(node, service) + 1);
     return own;
   }
   own.slack *= find_block(node, service) != nullptr ? 1.0 - holders_share : 1.0;
-  own.slack /= static_cast<double>(node.nodes + 1);
+  own.slack /= static_cast<double>(nodes_sharing_budget(node, now) + 1);
   return own;
 }
 
--- a/src/ibis/serving/extra_budget.cpp
+++ b/src/ibis/serving/extra_budget.cpp
@@ -45,11 +45,22 @@
   return true;
 }
 
+std::uint32_t extra_budget::spent(base::time_point now,
+                                  const extra_budget_settings& settings) {
+  advance(now, settings);
+  return extras_;
+}
+
+double extra_budget::allowed(base::time_point now,
+                             const extra_budget_settings& settings) {
+  advance(now, settings);
+  return allowance(settings);
+}
+
 double extra_budget::remaining_share(base::time_point now,
                                      const extra_budget_settings& settings) {
-  advance(now, settings);
-  const double allowed = allowance(settings);
-  return allowed <= 0 ? 0 : std::max(0.0, 1 - extras_ / allowed);
+  const double all = allowed(now, settings);
+  return all <= 0 ? 0 : std::max(0.0, 1 - extras_ / all);
 }
 
 }  // namespace ibis::serving
--- a/src/ibis/serving/holders_test.cpp
+++ b/src/ibis/serving/holders_test.cpp
@@ -63,6 +63,7 @@
     }
   }
   node.nodes = node.peers.size() + 1;
+  node.records.slack_from = start_time;
   node.holders = make_holder_table(node);
   return node;
 }
--- a/src/ibis/serving/node_records.cpp
+++ b/src/ibis/serving/node_records.cpp
@@ -1,11 +1,13 @@
 #include "ibis/serving/node_records.hpp"
 
-#include <optional>  // for optional
-#include <utility>   // for exchange, move
+#include <algorithm>  // for clamp, max, min
+#include <optional>   // for optional
+#include <utility>    // for exchange, move
 
-#include "ibis/serving/backoff.hpp"   // for spread_backoff
-#include "ibis/serving/holders.hpp"   // for update_holders
-#include "ibis/serving/registry.hpp"  // for forget_leaving_notices
+#include "ibis/serving/backoff.hpp"           // for spread_backoff
+#include "ibis/serving/connection_quota.hpp"  // for service_budget
+#include "ibis/serving/holders.hpp"           // for update_holders
+#include "ibis/serving/registry.hpp"          // for forget_leaving_notices
 
 namespace ibis::serving {
 namespace {
@@ -14,6 +16,14 @@
   return {node.settings.store.record_backoff, node.settings.store.record_backoff_limit};
 }
 
+/// @return The time to the next count: shorter while the whole system starts and nodes
+/// that joined since the last count may be many.
+base::milliseconds next_count_delay(const node_state& node, base::time_point now) {
+  const base::milliseconds period = node.settings.store.count_period;
+  const bool starting = node.settings.first_start && now - node.started_at < period;
+  return starting ? std::min(second_count_delay, period) : period;
+}
+
 /// Schedules the next count. Only the latest schedule is in force.
 void schedule_count(base::milliseconds delay, context& ctx) {
   ctx.add_timer(ctx.now + delay, timer_kind::count_nodes, 0,
@@ -65,12 +75,64 @@
   forget_leaving_notices(ctx);
 }
 
+/// Chooses from when on this node takes part in the slack.
+base::time_point choose_slack_start(context& ctx) {
+  const node_settings& settings = ctx.node.settings;
+  // A new record is in the next count of each other node. Nodes that start together
+  // count each other more often at first.
+  const bool new_record = ctx.node.records.written_at.has_value();
+  return new_record && !settings.first_start ? ctx.now + settings.store.count_period
+                                             : ctx.now;
+}
+
+void note_visibility(bool self_counted, context& ctx) {
+  std::optional<base::time_point>& slack_from = ctx.node.records.slack_from;
+  if (!self_counted) {
+    slack_from.reset();
+  } else if (!slack_from) {
+    slack_from = choose_slack_start(ctx);
+  }
+}
+
+void replace_count(std::size_t nodes, context& ctx) {
+  node_records_state& records = ctx.node.records;
+  const base::duration window = ctx.node.settings.budget.window;
+  std::erase_if(records.earlier, [&ctx, window](const earlier_count& value) {
+    return ctx.now - value.replaced_at >= window;
+  });
+  const bool changed = nodes != ctx.node.nodes;
+  if (changed && records.counted_before) {
+    records.earlier.push_back({ctx.node.nodes, ctx.now});
+  }
+  records.counted_before = true;
+  ctx.node.nodes = nodes;
+}
+
+/// Logs the budgets of which most is spent, so that the sum over all nodes can be
+/// worked out from their logs.
+void log_spent_budgets(context& ctx) {
+  constexpr double logged_share = 0.5;
+  for (auto& [name, service] : ctx.node.services) {
+    const extra_budget_settings settings = service_budget(ctx.node, name, ctx.now);
+    const std::uint32_t spent = service.budget.spent(ctx.now, settings);
+    const double allowed = service.budget.allowed(ctx.now, settings);
+    if (spent > 0 && spent >= logged_share * allowed) {
+      ctx.log("extra_requests_spent", {{"service", name},
+                                       {"spent", std::to_string(spent)},
+                                       {"allowed", std::to_string(allowed)},
+                                       {"nodes", std::to_string(ctx.node.nodes)}});
+    }
+  }
+}
+
 void apply_count(nodes_counted&& all, context& ctx) {
   // The store may have counted from a copy that is older than this node's record.
   const std::size_t others = all.self ? all.count - 1 : all.count;
-  ctx.node.nodes = others + 1;
+  replace_count(others + 1, ctx);
+  note_visibility(all.self, ctx);
   ctx.node.peers = std::move(all.peers);
   forget_old_failures(ctx);
+  log_spent_budgets(ctx);
   if (!all.self) {
     ensure_registered(ctx);
   }
@@ -79,6 +141,25 @@
 
 }  // namespace
 
+std::size_t nodes_sharing_budget(const node_state& node, base::time_point now) {
+  std::size_t most = node.nodes;
+  for (const earlier_count& value : node.records.earlier) {
+    if (now - value.replaced_at < node.settings.budget.window) {
+      most = std::max(most, value.nodes);
+    }
+  }
+  return most;
+}
+
+double usable_slack(const node_state& node, base::time_point now) {
+  const auto& from = node.records.slack_from;
+  if (!from) {
+    return 0;
+  }
+  const double window = base::to_ms(node.settings.budget.window);
+  return std::clamp(base::to_ms(now - *from) / window, 0.0, 1.0);
+}
+
 void start_counting(context& ctx) {
   start_count(ctx);
   schedule_count(second_count_delay, ctx);
@@ -93,7 +174,7 @@
   if (!records.counting) {
     start_count(ctx);
   }
-  schedule_count(ctx.node.settings.store.count_period, ctx);
+  schedule_count(next_count_delay(ctx.node, ctx.now), ctx);
 }
 
 void on_nodes_counted(const nodes_counted& page, context& ctx) {
--- a/src/ibis/serving/node_records_test.cpp
+++ b/src/ibis/serving/node_records_test.cpp
@@ -7,7 +7,8 @@
 #include <string>            // for string, to_string
 #include <vector>            // for vector
 
-#include "ibis/serving/node.hpp"  // for make_node, next_tick, reduce, start
+#include "ibis/serving/connection_quota.hpp"  // for service_budget
+#include "ibis/serving/node.hpp"              // for make_node, next_tick, reduce, start
 
 namespace ibis::serving {
 namespace {
@@ -185,6 +186,27 @@
   CHECK(fleet.store.records.contains(name_of_node(0)));
 }
 
+TEST_CASE("With each count, the budgets that are nearly spent are logged") {
+  node_state node = make_node({}, 1);
+  start(node, start_time);
+  nodes_counted alone;
+  alone.count = 1;
+  alone.self = true;
+  reduce(node, alone, start_time);
+  const base::time_point later = start_time + seconds(20);
+  extra_budget& budget = node.services["s"].budget;
+  const extra_budget_settings settings = service_budget(node, "s", later);
+  while (budget.try_spend(later, settings)) {
+  }
+  std::size_t lines = 0;
+  for (const effect& value : reduce(node, alone, later)) {
+    const auto* line = std::get_if<log_line>(&value);
+    lines +=
+        line != nullptr && std::string(line->name) == "extra_requests_spent" ? 1 : 0;
+  }
+  CHECK(lines == 1);
+}
+
 TEST_CASE("A count whose pages do not advance is given up") {
   node_state node = make_node({}, 1);
   start(node, start_time);
--- a/standins/serving_fleet.cpp
+++ b/standins/serving_fleet.cpp
@@ -190,6 +190,8 @@
               }
               deliver_event(probed);
             });
+    } else if (const auto* count = std::get_if<serving::count_nodes>(&effect)) {
+      on_count(*count);
     } else if (std::holds_alternative<serving::stop_accepting>(effect)) {
       accepting = false;
     } else if (const auto* finished = std::get_if<serving::finish_process>(&effect)) {
@@ -198,6 +200,18 @@
   }
 }
 
+void serving_fleet::on_count(const serving::count_nodes& effect) {
+  if (store_mode_ == store_mode::healthy) {
+    after(2 * one_way_delay, [this] {
+      deliver_event(serving::nodes_counted{counted_nodes, true, {}, ""});
+    });
+    return;
+  }
+  after(store_mode_ == store_mode::busy ? 2 * one_way_delay
+                                        : base::duration(effect.limit),
+        [this] { deliver_event(serving::node_count_failed{}); });
+}
+
 void serving_fleet::on_open(const serving::open_connection& effect) {
   const base::connection_id id = effect.connection;
   for (const auto& [name, leaf] : leafs) {
--- a/standins/serving_fleet.hpp
+++ b/standins/serving_fleet.hpp
@@ -79,6 +79,9 @@
   explicit serving_fleet(std::uint64_t seed,
                          const serving::node_settings& settings = {});
 
+  /// Number of nodes that have a record in the store, with the simulated one's.
+  static constexpr std::size_t counted_nodes = serving::initial_node_estimate;
+
   /// Adds a leaf that answers in about 5 ms, and registers it in the store.
   fleet_leaf& add_leaf(const std::string& id, const std::string& service);
   /// Marks a leaf's record in the store as draining.
@@ -145,6 +148,7 @@
   void after(base::duration delay, std::function<void()> action);
   void deliver_event(const serving::event& event);
   void carry_out(const serving::effects& effects);
+  void on_count(const serving::count_nodes& effect);
   void on_open(const serving::open_connection& effect);
   void on_send(const serving::send_to_leaf& effect);
   void deliver_answer(base::connection_id id,
