The property test waits for a connection that is just being opened

Trace (on, where it failed): at the check, connection 94 to g1s1-a is being opened for no request, ahead of need, since 0.000 ms; after 1 ms none is, and the node and the fleet have 3 connections each. So the check met the instant of the upkeep, and was wrong.

In its place: the same state must be reached by itself within the time that a connection may take (connect_timeout); one that is never opened or closed still fails.

--- a/tests/serving_properties_test.cpp
+++ b/tests/serving_properties_test.cpp
@@ -1,4 +1,4 @@
-#include <algorithm>         // for sort
+#include <algorithm>         // for any_of, sort
 #include <catch2/catch.hpp>  // for TEST_CASE, CHECK
 #include <cstdlib>           // for getenv
 #include <map>               // for map
@@ -162,6 +162,20 @@
   }
 }
 
+/// Runs the fleet until no connection is being opened ahead of need, but not longer than
+/// a connection may take.
+void finish_opening(serving_fleet& fleet) {
+  const auto is_opening = [](const auto& entry) {
+    return entry.second.phase == serving::connection_phase::opening;
+  };
+  const auto& connections = fleet.node.connections;
+  const base::time_point end = fleet.now() + fleet.node.settings.leafs.connect_timeout;
+  while (fleet.now() < end &&
+         std::any_of(connections.begin(), connections.end(), is_opening)) {
+    fleet.run_for(milliseconds(1));
+  }
+}
+
 void check_arrivals(const serving_fleet& fleet) {
   std::map<std::pair<std::string, std::string>, std::set<std::string>> leafs;
   std::map<std::string, int> runs;
@@ -206,6 +220,11 @@
     CHECK(service.waiting.empty());
     for (const auto& leaf : service.leafs) {
       CHECK(leaf->running.empty());
+    }
+  }
+  finish_opening(fleet);
+  for (const auto& [name, service] : fleet.node.services) {
+    for (const auto& leaf : service.leafs) {
       CHECK(leaf->opening == 0);
     }
   }
