--- a/src/ibis/wire/codec.cpp
+++ b/src/ibis/wire/codec.cpp
@@ -1,5 +1,6 @@
 #include "ibis/wire/codec.hpp"
 
+#include <cstring>  // for memcpy
 #include <utility>  // for move
 
 #include "ibis/wire/generated/frames_generated.h"  // for fb::frame
@@ -390,43 +391,8 @@
   })};
 }
 
-}  // namespace
-
-std::string encode(const message& value) {
-  builder out;
-  std::visit(body_writer{out}, value);
-  const std::size_t size = out.GetSize();
-  std::string frame;
-  frame.reserve(header_size + size);
-  for (unsigned byte = 0; byte < header_size - 1; ++byte) {
-    frame.push_back(static_cast<char>((size >> (byte * bits_per_byte)) & 0xffU));
-  }
-  frame.push_back(static_cast<char>(protocol_version));
-  // NOLINTNEXTLINE(cppcoreguidelines-pro-type-reinterpret-cast)
-  frame.append(reinterpret_cast<const char*>(out.GetBufferPointer()), size);
-  return frame;
-}
-
-base::result<std::size_t> decode_header(
-    std::span<const std::uint8_t, header_size> header) {
-  std::size_t size = 0;
-  for (unsigned byte = 0; byte < header_size - 1; ++byte) {
-    size |= static_cast<std::size_t>(header[byte]) << (byte * bits_per_byte);
-  }
-  if (header[header_size - 1] != protocol_version) {
-    return protocol_error("unsupported protocol version " +
-                          std::to_string(header[header_size - 1]) + "; version " +
-                          std::to_string(protocol_version) + " is required");
-  }
-  if (size > max_body_size) {
-    return base::error{base::error_code::too_large, "decode frame", "",
-                       std::to_string(size) + " bytes exceed the limit of " +
-                           std::to_string(max_body_size) + " bytes"};
-  }
-  return size;
-}
-
-base::result<message> decode_body(std::span<const std::uint8_t> body) {
+/// Verifies and decodes a body whose start suits all types of its values.
+base::result<message> decode_aligned_body(std::span<const std::uint8_t> body) {
   flatbuffers::Verifier verifier(body.data(), body.size());
   if (!fb::VerifyframeBuffer(verifier)) {
     return protocol_error("the frame is malformed");
@@ -478,4 +444,49 @@
   return protocol_error("unknown message type");
 }
 
+}  // namespace
+
+std::string encode(const message& value) {
+  builder out;
+  std::visit(body_writer{out}, value);
+  const std::size_t size = out.GetSize();
+  std::string frame;
+  frame.reserve(header_size + size);
+  for (unsigned byte = 0; byte < header_size - 1; ++byte) {
+    frame.push_back(static_cast<char>((size >> (byte * bits_per_byte)) & 0xffU));
+  }
+  frame.push_back(static_cast<char>(protocol_version));
+  // NOLINTNEXTLINE(cppcoreguidelines-pro-type-reinterpret-cast)
+  frame.append(reinterpret_cast<const char*>(out.GetBufferPointer()), size);
+  return frame;
+}
+
+base::result<std::size_t> decode_header(
+    std::span<const std::uint8_t, header_size> header) {
+  std::size_t size = 0;
+  for (unsigned byte = 0; byte < header_size - 1; ++byte) {
+    size |= static_cast<std::size_t>(header[byte]) << (byte * bits_per_byte);
+  }
+  if (header[header_size - 1] != protocol_version) {
+    return protocol_error("unsupported protocol version " +
+                          std::to_string(header[header_size - 1]) + "; version " +
+                          std::to_string(protocol_version) + " is required");
+  }
+  if (size > max_body_size) {
+    return base::error{base::error_code::too_large, "decode frame", "",
+                       std::to_string(size) + " bytes exceed the limit of " +
+                           std::to_string(max_body_size) + " bytes"};
+  }
+  return size;
+}
+
+base::result<message> decode_body(std::span<const std::uint8_t> body) {
+  // Values are read in place, but a body follows a header of odd size.
+  std::vector<std::uint64_t> aligned(body.size() / sizeof(std::uint64_t) + 1);
+  std::memcpy(aligned.data(), body.data(), body.size());
+  // NOLINTNEXTLINE(cppcoreguidelines-pro-type-reinterpret-cast)
+  const auto* const bytes = reinterpret_cast<const std::uint8_t*>(aligned.data());
+  return decode_aligned_body({bytes, body.size()});
+}
+
 }  // namespace ibis::wire
