--- a/src/ibis/reactor/store_client.cpp
+++ b/src/ibis/reactor/store_client.cpp
@@ -138,7 +138,7 @@
 void store_client::unregister_node(const std::function<void()>& on_done) {
   removal_client_->call(protocol_.make_unregister_request(),
                         runtime::http_client::retry_mode::on_closed_connection,
-                        [this, on_done](const base::result<http::response>& response) {
+                        [on_done](const base::result<http::response>& response) {
                           if (!response) {
                             log_failure("unregister", response.error());
                           }
