--- a/tests/serving_properties_test.cpp
+++ b/tests/serving_properties_test.cpp
@@ -162,8 +162,8 @@
   }
 }
 
-/// Runs the fleet until no connection is being opened ahead of need, but not longer than
-/// a connection may take.
+/// Runs the fleet until no connection is being opened ahead of need, but not longer
+/// than a connection may take.
 void finish_opening(serving_fleet& fleet) {
   const auto is_opening = [](const auto& entry) {
     return entry.second.phase == serving::connection_phase::opening;
