--- a/src/programs/ctl_options.hpp
+++ b/src/programs/ctl_options.hpp
@@ -7,9 +7,6 @@
 
 namespace ibis::programs {
 
-/// Output formats of the commands.
-enum class ctl_output : std::uint8_t { text, json };
-
 /// The options and arguments of all commands.
 struct ctl_options {
   std::string platform;                ///< "ip:port" of the platform's object API.
--- a/src/programs/ibis_node.cpp
+++ b/src/programs/ibis_node.cpp
@@ -4,7 +4,6 @@
 #include <csignal>      // for signal
 #include <cstdlib>      // for getenv
 #include <filesystem>   // for last_write_time
-#include <fstream>      // for ofstream
 #include <iostream>     // for cerr
 #include <memory>       // for make_shared
 #include <optional>     // for optional
@@ -13,6 +12,7 @@
 #include "ibis/reactor/node_log.hpp"          // for set_up_log
 #include "ibis/reactor/node_loop.hpp"         // for node_loop
 #include "ibis/reactor/process_settings.hpp"  // for parse_process_settings
+#include "ibis/runtime/address_file.hpp"      // for write_address_file
 #include "platform.hpp"                       // for make_protocol
 
 namespace {
@@ -79,21 +79,6 @@
   std::filesystem::file_time_type last_modified_at_{};
 };
 
-/// Writes the bound addresses to a file that appears only once complete. An empty path
-/// writes nothing.
-void write_address_file(const std::string& file, const reactor::node_loop& loop) {
-  if (file.empty()) {
-    return;
-  }
-  const std::string temporary_path = file + ".part";
-  {
-    std::ofstream out(temporary_path);
-    out << "clients=" << loop.client_address() << "\nready=" << loop.readiness_address()
-        << "\nmetrics=" << loop.metrics_address() << '\n';
-  }
-  std::rename(temporary_path.c_str(), file.c_str());
-}
-
 int serve(const std::string& file, const std::string& address_file) {
   const auto settings = load_settings(file);
   if (!settings) {
@@ -109,7 +94,14 @@
     std::cerr << base::describe(bound.error()) << '\n';
     return exit_bind_failed;
   }
-  write_address_file(address_file, loop);
+  const auto written =
+      runtime::write_address_file(address_file, {{"clients", loop.client_address()},
+                                                 {"ready", loop.readiness_address()},
+                                                 {"metrics", loop.metrics_address()}});
+  if (!written) {
+    std::cerr << base::describe(written.error()) << '\n';
+    return exit_bind_failed;
+  }
   reactor::write_log({"started",
                       false,
                       {{"clients", loop.client_address()},
--- a/src/programs/serve.cpp
+++ b/src/programs/serve.cpp
@@ -1,15 +1,15 @@
 #include "serve.hpp"
 
 #include <CLI/CLI.hpp>  // for App
-#include <fstream>      // for ofstream
 #include <iostream>     // for cerr
 #include <thread>       // for thread
 
-#include "ibis/config/parse.hpp"         // for load_documents
-#include "ibis/config/settings.hpp"      // for parse_settings
-#include "ibis/runtime/http_api.hpp"     // for http_api
-#include "ibis/runtime/log.hpp"          // for set_up_log
-#include "ibis/runtime/node_runner.hpp"  // for node_runner
+#include "ibis/config/parse.hpp"          // for load_documents
+#include "ibis/config/settings.hpp"       // for parse_settings
+#include "ibis/runtime/address_file.hpp"  // for write_address_file
+#include "ibis/runtime/http_api.hpp"      // for http_api
+#include "ibis/runtime/log.hpp"           // for set_up_log
+#include "ibis/runtime/node_runner.hpp"   // for node_runner
 
 namespace ibis::programs {
 namespace {
@@ -23,21 +23,6 @@
   std::string address_file;
 };
 
-/// Writes the bound addresses to a file that appears only once complete, so that others
-/// find the process when the system chose its ports. An empty path writes nothing.
-void write_address_file(const std::string& file, const std::string& frame_address,
-                        const std::string& http_address) {
-  if (file.empty()) {
-    return;
-  }
-  const std::string temporary_path = file + ".part";
-  {
-    std::ofstream out(temporary_path);
-    out << "frames=" << frame_address << "\nhttp=" << http_address << '\n';
-  }
-  std::rename(temporary_path.c_str(), file.c_str());
-}
-
 /// Loads and checks the settings; prints every error to standard error.
 bool load_settings(const std::string& file, config::process_settings& settings) {
   const auto source = config::load_documents({file});
@@ -70,7 +55,13 @@
     std::cerr << base::describe(frame_address.error()) << '\n';
     return exit_bind_failed;
   }
-  write_address_file(address_file, frame_address.value(), http_address.value());
+  const auto written = runtime::write_address_file(
+      address_file,
+      {{"frames", frame_address.value()}, {"http", http_address.value()}});
+  if (!written) {
+    std::cerr << base::describe(written.error()) << '\n';
+    return exit_bind_failed;
+  }
   std::size_t aborted_requests = 0;
   std::thread node_thread([&] { aborted_requests = node.run([&] { api.stop(); }); });
   api.serve();
