A settings file with a key that is no text is refused

A node reads its settings again while it runs, so that one odd write of the file would end the process instead of being rejected with the last good settings kept. Beside it: with aliases, a short text can state a document without end, or one of a billion values.

A document is checked once when it is parsed: keys are texts, at most 32 levels, at most 200,000 values.

--- a/src/ibis/config/parse_test.cpp
+++ b/src/ibis/config/parse_test.cpp
@@ -168,6 +168,25 @@
   CHECK(parsed.errors.front().line == 1);
 }
 
+// Guards against a settings file that ends a running process when it is read again.
+TEST_CASE("A document with odd keys, or one without end, is refused") {
+  for (const char* text : {"{}: 1", "[a]: 1", "a: {{b: c}: d}", "a: [{[]: 1}]",
+                           "&a {b: *a}", "&a {b: [*a]}"}) {
+    INFO(text);
+    const auto parsed = parse_document(text, "x");
+    REQUIRE_FALSE(parsed);
+    CHECK(parsed.error().step == "parse yaml");
+  }
+  std::string doubled = "a0: &a0 [1, 2]\n";
+  for (int i = 1; i < 30; ++i) {
+    const std::string before = std::to_string(i - 1);
+    const std::string self = std::to_string(i);
+    doubled += "a" + self + ": &a" + self + " [*a" + before + ", *a" + before + "]\n";
+  }
+  CHECK_FALSE(parse_document(doubled, "x"));
+  CHECK(parse_document("a: &a {b: 1}\nc: *a", "x"));
+}
+
 TEST_CASE(
     "Input that cannot be read, is not YAML or is not a map gets a specific error") {
   CHECK(parse_document("- a\n- b", "x").error().detail == "the document must be a map");
--- a/src/ibis/config/reader.cpp
+++ b/src/ibis/config/reader.cpp
@@ -73,6 +73,34 @@
   return node.IsScalar() ? "'" + node.Scalar() + "'" : std::string("a list or map");
 }
 
+/// Checks that a document is a tree of a reasonable size whose keys are texts. With
+/// aliases, a short text can state a document that is endless or very large.
+class structure_check {
+ public:
+  /// @return What is wrong, or "".
+  std::string run(const YAML::Node& node, std::size_t depth = 0) {
+    constexpr std::size_t max_depth = 32;
+    constexpr std::size_t max_values = 200'000;
+    if (depth > max_depth || ++values_ > max_values) {
+      return "the document is nested too deeply or too large";
+    }
+    for (const auto& entry : node) {
+      const bool is_map = node.IsMap();
+      if (is_map && !entry.first.IsScalar()) {
+        return "a key is not a text";
+      }
+      std::string problem = run(is_map ? entry.second : entry, depth + 1);
+      if (!problem.empty()) {
+        return problem;
+      }
+    }
+    return "";
+  }
+
+ private:
+  std::size_t values_ = 0;
+};
+
 }  // namespace
 
 std::string describe(const document_error& value) {
@@ -88,6 +116,10 @@
       return base::error{base::error_code::invalid_input, "parse yaml", file,
                          "the document must be a map"};
     }
+    const std::string problem = structure_check().run(parsed.root);
+    if (!problem.empty()) {
+      return base::error{base::error_code::invalid_input, "parse yaml", file, problem};
+    }
     return parsed;
   } catch (const YAML::Exception& failure) {
     return base::error{base::error_code::invalid_input, "parse yaml", file,
