A leaf that turns requests away with Retry-After gets none until then

The field was dropped so far.

A module of the leaf's own state: until the time is over nothing is sent, neither hedges nor repeats; then one request first, and others wait for its answer. Other leafs take the work; if all of a service back off, requests are refused at once, with the time of the first that returns. Values that state no time are ignored, longer ones than a minute bounded, with a counter each; leafs that leave or back off are gauges. It is the same code for a holder's own sends; holders do not tell others, so that a node that asks two holders of a leaf may cause one probe of each.

--- a/include/ibis/serving/event.hpp
+++ b/include/ibis/serving/event.hpp
@@ -60,7 +60,10 @@
   bool not_executed = false;  ///< The leaf states that it did not execute the request.
   bool instance_mismatch = false;  ///< Another leaf uses the address now.
   bool leaf_leaving = false;       ///< The leaf says that it leaves.
-  http::header_fields fields;      ///< Fields to forward to the client.
+  /// For how long the leaf wants no request from this node; nothing if not stated.
+  std::optional<base::milliseconds> retry_after;
+  bool retry_after_unreadable = false;  ///< It states a time that is none.
+  http::header_fields fields;           ///< Fields to forward to the client.
   std::string body;
 };
 
--- a/include/ibis/serving/state.hpp
+++ b/include/ibis/serving/state.hpp
@@ -250,6 +250,9 @@
   std::uint64_t instance_mismatches = 0;
   std::uint64_t leaf_refusals = 0;
   std::uint64_t leaf_failures = 0;
+  std::uint64_t leaf_backoffs = 0;
+  std::uint64_t leaf_retry_after_bounded = 0;  ///< Times that were too long.
+  std::uint64_t leaf_retry_after_ignored = 0;  ///< Values that state no time.
   std::uint64_t store_calls = 0;
   std::uint64_t store_failures = 0;
   std::uint64_t watch_checks = 0;  ///< Watches that were behind the store's revision.
--- a/src/ibis/reactor/node_metrics.cpp
+++ b/src/ibis/reactor/node_metrics.cpp
@@ -6,6 +6,8 @@
 #include <array>      // for array
 #include <sstream>    // for ostringstream
 
+#include "ibis/serving/leaf_backoff.hpp"  // for backs_off
+
 namespace ibis::reactor {
 namespace {
 
@@ -83,6 +85,19 @@
   write_gauge(out, "longest_turn_processor_ms", turns.lengths().max_ms());
 }
 
+/// Writes how many leafs have said that they leave, and how many back off.
+void write_leaf_states(std::ostringstream& out, const serving::node_state& node,
+                       base::time_point now) {
+  double leaving = 0;
+  double backing_off = 0;
+  for (const auto& [id, leaf] : node.leafs) {
+    leaving += leaf->leaving ? 1 : 0;
+    backing_off += serving::backs_off(*leaf, now) ? 1 : 0;
+  }
+  write_gauge(out, "leafs_leaving", leaving);
+  write_gauge(out, "leafs_backing_off", backing_off);
+}
+
 void write_counters(std::ostringstream& out, const serving::node_counters& count) {
   write_counter(out, "requests", count.requests);
   write_counter(out, "leaf_sends", count.sends);
@@ -91,6 +106,9 @@
   write_counter(out, "extra_requests_denied", count.budget_refusals);
   write_counter(out, "leaf_refusals", count.leaf_refusals);
   write_counter(out, "leaf_failures", count.leaf_failures);
+  write_counter(out, "leaf_backoffs", count.leaf_backoffs);
+  write_counter(out, "leaf_retry_after_bounded", count.leaf_retry_after_bounded);
+  write_counter(out, "leaf_retry_after_ignored", count.leaf_retry_after_ignored);
   write_counter(out, "leaf_address_reuses", count.instance_mismatches);
   write_counter(out, "leaf_connections_opened", count.connections_opened);
   write_counter(out, "leaf_connections_failed", count.connections_failed);
@@ -145,6 +163,7 @@
   write_gauge(out, "requests_in_flight",
               static_cast<double>(node.pending_requests.size()));
   write_gauge(out, "leafs", static_cast<double>(node.leafs.size()));
+  write_leaf_states(out, node, now);
   write_gauge(out, "leaf_connections", static_cast<double>(node.connections.size()));
   write_gauge(out, "nodes", static_cast<double>(node.nodes));
   const double version =
--- a/src/ibis/serving/leaf_choice.cpp
+++ b/src/ibis/serving/leaf_choice.cpp
@@ -4,7 +4,8 @@
 #include <limits>     // for numeric_limits
 
 #include "ibis/serving/concurrency_limit.hpp"  // for has_capacity
-#include "ibis/serving/connections.hpp"  // for find_idle, can_send_now, may_send_later
+#include "ibis/serving/connections.hpp"   // for find_idle, can_send_now, may_send_later
+#include "ibis/serving/leaf_backoff.hpp"  // for backs_off, is_probed
 
 namespace ibis::serving {
 namespace {
@@ -35,7 +36,7 @@
 
 bool is_allowed(const task_state& task, const leaf_state& leaf,
                 const leaf_requirements& requirements, base::time_point now) {
-  if (!takes_new_work(leaf) || !is_in_subset(task, leaf)) {
+  if (!takes_new_work(leaf) || backs_off(leaf, now) || !is_in_subset(task, leaf)) {
     return false;
   }
   const bool tried = was_tried(task, leaf);
@@ -64,7 +65,8 @@
                   context& ctx) {
   const bool capacity = requirements.is_hedge ? has_spare_capacity(leaf, ctx.now)
                                               : has_capacity(leaf, ctx.now);
-  return capacity && can_send_now(ctx.node, leaf, requirements.key, ctx.now);
+  return capacity && !is_probed(leaf) &&
+         can_send_now(ctx.node, leaf, requirements.key, ctx.now);
 }
 
 bool is_too_slow(const leaf_state& leaf, const leaf_requirements& requirements,
--- a/src/ibis/serving/leaf_events.cpp
+++ b/src/ibis/serving/leaf_events.cpp
@@ -5,9 +5,10 @@
 
 #include "ibis/serving/attempt.hpp"            // for on_attempt_failed, answer_if_ready
 #include "ibis/serving/concurrency_limit.hpp"  // for update_concurrency_limit
-#include "ibis/serving/connections.hpp"  // for close, remove_connection, mark_idle
-#include "ibis/serving/merge.hpp"        // for merge_records
-#include "ibis/serving/registry.hpp"     // for mark_leaving
+#include "ibis/serving/connections.hpp"   // for close, remove_connection, mark_idle
+#include "ibis/serving/leaf_backoff.hpp"  // for backs_off, note_backoff
+#include "ibis/serving/merge.hpp"         // for merge_records
+#include "ibis/serving/registry.hpp"      // for mark_leaving
 #include "ibis/serving/request_completion.hpp"  // for forward_leaf_answer
 #include "ibis/serving/waiting_tasks.hpp"       // for dispatch_waiting_tasks
 
@@ -135,6 +136,12 @@
   answer_if_ready(pending, ctx);
 }
 
+/// @return The id of the request on a connection; empty if its client has left.
+std::string request_id_of(const connection_state& connection, context& ctx) {
+  const pending_request* pending = find_pending_request(connection.caller, ctx);
+  return pending == nullptr ? std::string() : pending->request->id;
+}
+
 /// Handles an attempt that ended without an answer.
 void on_attempt_lost(const connection_state& connection, base::connection_id id,
                      const std::string& detail, context& ctx) {
@@ -198,7 +205,8 @@
   if (pending_request* pending = find_pending_request(connection.caller, ctx)) {
     task_state& task = pending->tasks[connection.shard];
     --task.opening;
-    if (usable && still_needs_connection(*pending, task)) {
+    const bool wanted = usable && !backs_off(leaf, ctx.now) && !is_probed(leaf);
+    if (wanted && still_needs_connection(*pending, task)) {
       send(*pending, connection.shard, id, ctx);
     } else {
       on_attempt_failed(*pending, connection.shard, ctx);
@@ -261,6 +269,7 @@
     close(event.connection, ctx);
   }
   update_leaf_health(*connection.leaf, connection, *event.answer, ctx);
+  note_backoff(*connection.leaf, *event.answer, request_id_of(connection, ctx), ctx);
   if (keep && connection.leaf->next_send_at > ctx.now) {
     ctx.add_timer(connection.leaf->next_send_at, timer_kind::leaf_capacity,
                   event.connection.value);
--- a/src/ibis/serving/request_completion.cpp
+++ b/src/ibis/serving/request_completion.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>  // for any_of, clamp
 #include <utility>    // for move
 
+#include "ibis/serving/leaf_backoff.hpp"    // for end_of_backoff
 #include "ibis/serving/merge.hpp"           // for merge_records
 #include "ibis/serving/shard_replies.hpp"   // for finish_shards
 #include "ibis/serving/shard_requests.hpp"  // for cancel_shard_calls
@@ -28,6 +29,18 @@
                     max_retry_after);
 }
 
+/// @return After which time a client may return: if all leafs of a service back off,
+/// when the first of them may be asked.
+base::milliseconds time_to_return(const pending_request& pending, context& ctx) {
+  base::milliseconds time = choose_retry_after(pending, ctx.now);
+  for (const task_state& task : pending.tasks) {
+    if (const auto end = end_of_backoff(ctx.node, task.service, ctx.now)) {
+      time = std::max(time, std::chrono::ceil<base::milliseconds>(*end - ctx.now));
+    }
+  }
+  return time;
+}
+
 bool may_have_run(const pending_request& pending) {
   return std::any_of(
       pending.tasks.begin(), pending.tasks.end(), [](const task_state& task) {
@@ -123,7 +136,7 @@
     return;
   }
   answer.status = status_unavailable;
-  answer.retry_after = choose_retry_after(pending, ctx.now);
+  answer.retry_after = time_to_return(pending, ctx);
   complete_request(pending, std::move(answer), outcome::not_run, reason, ctx);
 }
 
--- a/standins/serving_fleet.cpp
+++ b/standins/serving_fleet.cpp
@@ -274,6 +274,10 @@
     answer->instance_mismatch = wrong_instance;
     answer->leaf_leaving = leafs.at(connection.leaf).says_leaving;
     answer->not_executed = wrong_instance || reaction == leaf_reaction::refuse;
+    if (reaction == leaf_reaction::refuse) {
+      answer->retry_after = leafs.at(connection.leaf).retry_after;
+      note_refusal(connection.leaf, *answer);
+    }
     if (!answer->not_executed) {
       answer->signature = connection.leaf + '/' + effect.request->id;
       answer->body = make_records(answer->signature);
@@ -287,6 +291,13 @@
   });
 }
 
+void serving_fleet::note_refusal(const std::string& leaf,
+                                 const serving::leaf_answer& answer) {
+  if (answer.retry_after) {
+    refusals.push_back({leaf, now_, answer.retry_after});
+  }
+}
+
 void serving_fleet::deliver_answer(
     base::connection_id id, const std::shared_ptr<serving::leaf_answer>& answer) {
   connections_.at(id).request_in_flight.clear();
--- a/standins/serving_fleet.hpp
+++ b/standins/serving_fleet.hpp
@@ -32,6 +32,8 @@
   std::function<leaf_reaction(std::mt19937_64&)> reaction;
   bool accepts_connections = true;
   bool says_leaving = false;  ///< It says in its answers that it leaves.
+  /// If set, it says when it refuses that it wants nothing for that long.
+  std::optional<base::milliseconds> retry_after;
   /// If set, the leaf sends each answer a second time, this long after the first.
   std::optional<base::duration> copy_delay;
   base::time_point paused_until{};  ///< Requests do not start to run earlier.
@@ -48,6 +50,13 @@
   bool ran = false;
 };
 
+/// A refusal by which a leaf asked for no more requests for a while.
+struct leaf_refusal {
+  std::string leaf;
+  base::time_point at{};  ///< When the node got it.
+  std::optional<base::milliseconds> retry_after;
+};
+
 /// The node's answer to a caller.
 struct client_answer {
   base::caller_id caller;
@@ -118,6 +127,7 @@
   serving::node_state node;
   std::map<std::string, fleet_leaf> leafs;      ///< By id.
   std::vector<leaf_arrival> arrivals;           ///< In the order of sending.
+  std::vector<leaf_refusal> refusals;           ///< With a time to return, in order.
   std::vector<client_answer> answers;           ///< In the order of answering.
   std::vector<std::uint64_t> applied_versions;  ///< Of the configuration, in order.
   std::size_t open_connections = 0;             ///< From the node to leafs.
@@ -148,6 +158,7 @@
   void after(base::duration delay, std::function<void()> action);
   void deliver_event(const serving::event& event);
   void carry_out(const serving::effects& effects);
+  void note_refusal(const std::string& leaf, const serving::leaf_answer& answer);
   void on_count(const serving::count_nodes& effect);
   void on_open(const serving::open_connection& effect);
   void on_send(const serving::send_to_leaf& effect);
