--- a/src/ibis/policy/membership.cpp
+++ b/src/ibis/policy/membership.cpp
@@ -196,7 +196,7 @@
 std::optional<std::string> next_probe_target(membership_state& membership,
                                              context& ctx) {
   for (std::size_t attempt = 0; attempt <= membership.probes.size(); ++attempt) {
-    const auto node = membership.probes.next(ctx.shared.random);
+    std::optional<std::string> node = membership.probes.next(ctx.shared.random);
     if (!node) {
       return std::nullopt;
     }
--- a/tests/serving_backoff_test.cpp
+++ b/tests/serving_backoff_test.cpp
@@ -1,4 +1,5 @@
 // Leafs that turn requests away and say for how long they want no other.
+#include <array>             // for array
 #include <catch2/catch.hpp>  // for TEST_CASE, CHECK
 #include <random>            // for mt19937_64
 
@@ -177,7 +178,7 @@
           };
         }
       }
-      const char* targets[] = {"/read/", "/write/", "/q/"};
+      const std::array<const char*, 3> targets{"/read/", "/write/", "/q/"};
       fleet.send_request("r" + std::to_string(step), targets[random() % 3]);
       fleet.run_for(milliseconds(random() % 60));
     }
