A body may pause for the idle timeout, whatever a head may take

Read: with an idle timeout below the head's, a client that stopped in the middle of a body held its connection for the latter. A body's next bytes have the idle timeout now; a slow one that goes on is no longer cut at the end of a total.

--- a/include/ibis/reactor/server_session.hpp
+++ b/include/ibis/reactor/server_session.hpp
@@ -73,6 +73,10 @@
   void write();
   void begin_graceful_close();
   void enter_phase(phase next);
+  /// Whether the request that is being read takes too long: its head as a whole, or the
+  /// next bytes of its body.
+  [[nodiscard]] bool is_overdue(base::time_point now,
+                                const serving::client_limits& limits) const;
 
   asio::ip::tcp::socket socket_;
   const session_hooks& hooks_;  // NOLINT(*-avoid-const-or-ref-data-members)
@@ -89,6 +93,7 @@
   bool continue_sent_ = false;
   phase phase_ = phase::idle;
   base::time_point phase_started_at_{};
+  base::time_point last_received_at_{};
   std::optional<http::request_parser> parser_;
 };
 
--- a/src/ibis/reactor/server_session.cpp
+++ b/src/ibis/reactor/server_session.cpp
@@ -76,6 +76,7 @@
     on_disconnect();
     return;
   }
+  last_received_at_ = base::clock::now();
   if (phase_ != phase::closing) {
     input_.append(read_buffer_.data(), size);
     parse();
@@ -202,13 +203,20 @@
   }
 }
 
+bool server_session::is_overdue(base::time_point now,
+                                const serving::client_limits& limits) const {
+  if (!parser_->header_complete()) {
+    return now - phase_started_at_ > limits.header_timeout;
+  }
+  return now - last_received_at_ > limits.idle_timeout;
+}
+
 void server_session::enforce_timeouts(base::time_point now) {
   const serving::client_limits limits = hooks_.limits();
   const base::duration elapsed = now - phase_started_at_;
   if (phase_ == phase::idle && elapsed > limits.idle_timeout) {
     close_if_idle();
-  } else if (phase_ == phase::reading && elapsed > limits.header_timeout &&
-             (!parser_->header_complete() || elapsed > limits.idle_timeout)) {
+  } else if (phase_ == phase::reading && is_overdue(now, limits)) {
     reject(status_timeout);
   } else if (phase_ == phase::closing && elapsed > graceful_close_timeout) {
     close();
