One quantile in place of four; what load results never drew is gone

Two of the copies read a value before they checked for none. bench/e2e.sh exits with 1 if a load fails.

--- a/bench/bench_control.cpp
+++ b/bench/bench_control.cpp
@@ -8,6 +8,7 @@
 #include <algorithm>  // for sort
 #include <cstdio>     // for printf
 
+#include "ibis/base/quantile.hpp"    // for quantile_of
 #include "ibis/config/manifest.hpp"  // for split_parts
 #include "ibis/config/parse.hpp"     // for parse_configuration
 #include "virtual_tier.hpp"          // for virtual_tier
@@ -63,9 +64,7 @@
 
 double quantile(std::vector<double> values, double q) {
   std::sort(values.begin(), values.end());
-  const auto index =
-      static_cast<std::size_t>(q * static_cast<double>(values.size() - 1));
-  return values.empty() ? 0 : values[index];
+  return ibis::base::quantile_of(values, q);
 }
 
 bool all_have_generation(const virtual_tier& tier, std::uint64_t generation) {
--- a/bench/bench_path.cpp
+++ b/bench/bench_path.cpp
@@ -13,6 +13,7 @@
 #include <nlohmann/json.hpp>    // for json
 #include <thread>               // for thread
 
+#include "ibis/base/quantile.hpp"           // for quantile_of
 #include "ibis/runtime/address.hpp"         // for parse_address
 #include "ibis/runtime/leaf_protocol.hpp"   // for write_leaf_request
 #include "ibis/runtime/peer_transport.hpp"  // for peer_transport
@@ -42,7 +43,7 @@
 
 double quantile(std::vector<double> values, double q) {
   std::sort(values.begin(), values.end());
-  return values[static_cast<std::size_t>(q * static_cast<double>(values.size() - 1))];
+  return base::quantile_of(values, q);
 }
 
 std::unique_ptr<httplib::Client> make_client(const std::string& address) {
--- a/bench/bench_policy.cpp
+++ b/bench/bench_policy.cpp
@@ -5,7 +5,8 @@
 #include <algorithm>  // for sort
 #include <cstdio>     // for printf
 
-#include "virtual_tier.hpp"  // for virtual_tier
+#include "ibis/base/quantile.hpp"  // for quantile_of
+#include "virtual_tier.hpp"        // for virtual_tier
 
 namespace {
 
@@ -145,12 +146,6 @@
       std::chrono::duration<double, std::milli>(1.0 / queries_per_ms));
 }
 
-double quantile(const std::vector<double>& sorted, double q) {
-  const auto index =
-      static_cast<std::size_t>(q * static_cast<double>(sorted.size() - 1));
-  return sorted.empty() ? 0 : sorted[index];
-}
-
 void configure_hedging(policy::node_state& state, hedge_policy hedging) {
   const bool enabled =
       hedging == hedge_policy::fixed_delay || hedging == hedge_policy::shipped;
@@ -215,9 +210,9 @@
   }
   std::sort(latencies.begin(), latencies.end());
   bench_result result;
-  result.p50_ms = quantile(latencies, 0.5);
-  result.p99_ms = quantile(latencies, 0.99);
-  result.p999_ms = quantile(latencies, 0.999);
+  result.p50_ms = ibis::base::quantile_of(latencies, 0.5);
+  result.p99_ms = ibis::base::quantile_of(latencies, 0.99);
+  result.p999_ms = ibis::base::quantile_of(latencies, 0.999);
   result.coverage = covered_shards / total_shards;
   result.extra_load = static_cast<double>(extra_attempts - extra_attempts_before) /
                       static_cast<double>(first_attempts - first_attempts_before);
--- a/bench/e2e.sh
+++ b/bench/e2e.sh
@@ -164,7 +164,7 @@
     --report "$out/$name.html" >"$out/$name.txt" 2>&1 &
   local load_pid=$!
   if [ "$fault" = rolling ]; then rolling_restart; else inject "$fault"; fi
-  wait "$load_pid" || echo "  (ibis_load failed or reported wrong results)"
+  wait "$load_pid" || { echo "  (ibis_load failed or reported wrong results)"; failed=1; }
   cat "$out/$name.txt"
   grep -h '"cut_requests":"[1-9]' "$run_dir"/*.log | head -3 || true
   stop_all
@@ -175,4 +175,6 @@
 . scripts/cluster.sh
 run_dir=/nonexistent  # Until the first run creates one, for the trap.
 trap 'stop_all; rm -rf "$run_dir"' EXIT
+failed=0
 for fault in "$@"; do run_with_fault "$fault"; done
+exit "$failed"
--- a/include/ibis/load/result.hpp
+++ b/include/ibis/load/result.hpp
@@ -68,8 +68,6 @@
   std::uint64_t repeated_submits = 0;  ///< Submits that leafs executed more than once.
   /// Submits that a leaf executed although their outcome was `not_run`.
   std::uint64_t misreported_submits = 0;
-  /// Descriptions of events by second, meant for the plots.
-  std::map<std::string, std::string> event_marks;
 };
 
 /// @return The summary of all requests, which is empty if there were none.
--- a/src/ibis/load/result.cpp
+++ b/src/ibis/load/result.cpp
@@ -5,6 +5,8 @@
 #include <nlohmann/json.hpp>  // for json
 #include <sstream>            // for ostringstream
 
+#include "ibis/base/quantile.hpp"  // for quantile_of
+
 namespace ibis::load {
 namespace {
 
@@ -12,15 +14,6 @@
 
 constexpr std::size_t percentile_steps = 100;
 
-double quantile_of(const std::vector<double>& sorted, double quantile) {
-  if (sorted.empty()) {
-    return 0;
-  }
-  const auto index =
-      static_cast<std::size_t>(quantile * static_cast<double>(sorted.size() - 1));
-  return sorted[index];
-}
-
 bool has_answer(const std::string& outcome) {
   return outcome == "complete" || outcome == "partial";
 }
@@ -48,8 +41,9 @@
 };
 
 latency_summary summarize_latency(const std::vector<double>& sorted) {
-  return {quantile_of(sorted, 0.5), quantile_of(sorted, 0.9), quantile_of(sorted, 0.99),
-          quantile_of(sorted, 0.999), sorted.empty() ? 0 : sorted.back()};
+  return {base::quantile_of(sorted, 0.5), base::quantile_of(sorted, 0.9),
+          base::quantile_of(sorted, 0.99), base::quantile_of(sorted, 0.999),
+          sorted.empty() ? 0 : sorted.back()};
 }
 
 void summarize_series(collector& samples, series_summary& summary) {
@@ -60,7 +54,8 @@
   for (std::size_t step = 0; step <= percentile_steps; ++step) {
     const double quantile =
         static_cast<double>(step) / static_cast<double>(percentile_steps);
-    summary.latency_percentiles_ms.push_back(quantile_of(samples.latencies, quantile));
+    summary.latency_percentiles_ms.push_back(
+        base::quantile_of(samples.latencies, quantile));
   }
 }
 
@@ -70,8 +65,8 @@
   return {static_cast<double>(index) * length_s,
           samples.requests,
           samples.failed,
-          quantile_of(samples.latencies, 0.5),
-          quantile_of(samples.latencies, 0.99),
+          base::quantile_of(samples.latencies, 0.5),
+          base::quantile_of(samples.latencies, 0.99),
           samples.coverage()};
 }
 
@@ -136,7 +131,6 @@
                    {"extra_load", result.extra_load},
                    {"repeated", result.repeated_submits},
                    {"ran_not_run", result.misreported_submits},
-                   {"marks", result.event_marks},
                    {"series", json::object()}};
   for (const auto& [key, series] : result.series) {
     document["series"][key] = series_to_json(series);
@@ -161,7 +155,6 @@
     document.at("extra_load").get_to(result.extra_load);
     document.at("repeated").get_to(result.repeated_submits);
     document.at("ran_not_run").get_to(result.misreported_submits);
-    document.at("marks").get_to(result.event_marks);
     for (const auto& [key, item] : document.at("series").items()) {
       result.series[key] = series_from_json(item);
     }
