--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -80,6 +80,12 @@
 set_leaf_faults shard-1-1 '{"service_ms": 120}'
 run_condition "a leaf is slow"
 set_leaf_faults shard-1-1 '{"service_ms": 5}'
+set_leaf_faults shard-2-0 '{"reaction": "refuse", "retry_after_s": "5"}'
+run_condition "a leaf turns queries away for a while"
+set_leaf_faults shard-2-0 '{"reaction": "answer", "retry_after_s": ""}'
+set_leaf_faults shard-3-1 '{"leaving": true}'
+run_condition "a leaf says that it leaves"
+set_leaf_faults shard-3-1 '{"leaving": false}'
 curl -sf -X POST "http://$store/faults" -d '{"mode": "reset", "drop_history": true}' >/dev/null
 run_condition "the store is down"
 curl -sf -X POST "http://$store/faults" -d '{"mode": "well"}' >/dev/null
