--- a/include/ibis/serving/settings.hpp
+++ b/include/ibis/serving/settings.hpp
@@ -55,7 +55,7 @@
   /// Longest latency from which the pause between requests is computed.
   base::milliseconds max_pacing_delay{400};
   /// A leaf that wants nothing for longer is asked again after this time.
-  base::milliseconds retry_after_limit{60000};
+  base::milliseconds retry_after_limit = std::chrono::hours(1);
   base::milliseconds maintenance_period{500};  ///< Between rounds of connection upkeep.
   /// How long after the request's deadline a leaf may still answer before its
   /// connection is closed.
--- a/src/ibis/reactor/turn_meter.cpp
+++ b/src/ibis/reactor/turn_meter.cpp
@@ -29,7 +29,7 @@
   return serving::log_line{
       "long_turn",
       true,
-      {{"event", name == nullptr ? "other" : name},
+      {{"handled", name == nullptr ? "other" : name},
        {"processor_ms", std::to_string(base::to_ms(length))},
        {"long_turns", std::to_string(std::exchange(long_turns_, 0))}}};
 }
--- a/src/ibis/reactor/turn_meter_test.cpp
+++ b/src/ibis/reactor/turn_meter_test.cpp
@@ -28,7 +28,7 @@
   meter.name_turn("request_arrived");
   const auto line = meter.end_turn(milliseconds(99), start_time);
   REQUIRE(line);
-  CHECK(field_of(*line, "event") == "topic_listed");
+  CHECK(field_of(*line, "handled") == "topic_listed");
   CHECK(std::stod(field_of(*line, "processor_ms")) == Approx(50));
   CHECK(meter.lengths().count() == 2);
   CHECK(meter.lengths().max_ms() == Approx(50));
@@ -44,7 +44,7 @@
     if (const auto line = meter.end_turn(used, start_time + milliseconds(100) * i)) {
       ++lines;
       last_count = field_of(*line, "long_turns");
-      CHECK(field_of(*line, "event") == "other");
+      CHECK(field_of(*line, "handled") == "other");
     }
   }
   CHECK(lines == 3);
--- a/src/ibis/serving/leaf_backoff.cpp
+++ b/src/ibis/serving/leaf_backoff.cpp
@@ -19,7 +19,7 @@
                              {"leaf", leaf.record.id},
                              {"service", leaf.record.service},
                              {"retry_after_ms", std::to_string(asked_for.count())},
-                             {"until_ms", std::to_string(delay.count())}});
+                             {"delay_ms", std::to_string(delay.count())}});
 }
 
 }  // namespace
