Http: a response whose status is outside of 100 to 599 is malformed

What callers would have seen: a leaf's answer with the status 000 (also 099, 600) as an answer, with its body, in place of a failure of the tier's own.

Cause: the parser of the library takes any three digits; a status of 0 is no success, so that an answer with a signature was kept as the leaf's failure and passed on.

Why this works: such bytes are no answer in the protocol, so that the parser, which reads what leafs, the store and relays' leafs send, ends the connection. A request that must not be repeated gets 502 and runs once; others go to another leaf. RFC 9110, section 15.

--- a/src/ibis/http/parser.cpp
+++ b/src/ibis/http/parser.cpp
@@ -42,8 +42,15 @@
     }
   }
   void on_response_impl(int status, text reason, int version,
-                        boost_error& /*ec*/) override {
+                        boost_error& ec) override {
     http_1_0_ = version == http_1_0_version;
+    // Others are invalid (RFC 9110, section 15). The base class takes any three digits.
+    constexpr int first_status = 100;
+    constexpr int last_status = 599;
+    if (status < first_status || status > last_status) {
+      ec = beast_http::error::bad_status;
+      return;
+    }
     if constexpr (!IsRequest) {
       message.status = static_cast<unsigned>(status);
       message.reason = to_std_string(reason);
--- a/src/ibis/http/parser_test.cpp
+++ b/src/ibis/http/parser_test.cpp
@@ -229,6 +229,29 @@
   }
 }
 
+// Guards against bytes of a leaf in trouble that reach a client as an answer.
+TEST_CASE("A response whose status is outside of 100 to 599 is malformed") {
+  for (const char* status : {"000", "001", "042", "099", "600", "999", "20", "2000",
+                             "2 0", "+20", "-20", "2x0",
+                             "\x01"
+                             "00"}) {
+    INFO(status);
+    response_parser parser({1024, 64}, false);
+    CHECK(parser
+              .feed("HTTP/1.1 " + std::string(status) +
+                    " Odd\r\nContent-Length: 0\r\n\r\n")
+              .state == parse_state::malformed);
+  }
+  for (const char* status : {"200", "299", "404", "599"}) {
+    INFO(status);
+    response_parser parser({1024, 64}, false);
+    CHECK(parser
+              .feed("HTTP/1.1 " + std::string(status) +
+                    " Good\r\nContent-Length: 0\r\n\r\n")
+              .state == parse_state::complete);
+  }
+}
+
 TEST_CASE("A response to HEAD has no body") {
   response_parser parser(limits, true);
   const auto progress = parser.feed("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n");
