Http: a response with a folded line is malformed

What callers would have seen: where the name of a field began with a blank, the line was passed on as the end of the field before, or, if it stated the length, a body that ends with the connection.

Handled already: a blank or a control byte elsewhere in a name, in a head, a trailer, an interim answer and a chunked answer (tests keep it: all bytes from 0 to 0x20 and 0x7f, at the start, inside and at the end of a name).

Cause: the library's parser joins such a line to the one before, as old versions of the protocol allow.

Why this works: the lines that the parser has used up are checked once, in the head and in the trailer; bodies are not looked at. A gateway may refuse such a response (RFC 9112, section 5.2). The result is the same byte by byte.

--- a/include/ibis/http/parser.hpp
+++ b/include/ibis/http/parser.hpp
@@ -68,7 +68,9 @@
   std::unique_ptr<implementation> parser_;
 };
 
-/// Parses one response. Use a new parser for each response of a connection.
+/// Parses one response. Use a new parser for each response of a connection. A response
+/// with a line that continues a field is malformed: a name that begins with a blank
+/// looks the same.
 class response_parser {
  public:
   /// @param for_head_request Whether the response answers a HEAD request and therefore
@@ -94,6 +96,9 @@
   response take();
 
  private:
+  /// @param parsed Bytes that end with the response.
+  [[nodiscard]] bool has_folded_trailer(std::string_view parsed) const;
+
   struct implementation;
   std::unique_ptr<implementation> parser_;
 };
--- a/src/ibis/http/parser.cpp
+++ b/src/ibis/http/parser.cpp
@@ -25,6 +25,7 @@
  public:
   Message message;
   body_framing framing = body_framing::unstated;
+  std::size_t trailer_fields = 0;
 
  private:
   using verb = beast_http::verb;
@@ -59,9 +60,11 @@
   void on_field_impl(field /*known*/, text name, text value,
                      boost_error& /*ec*/) override {
     // Trailer fields are not merged into the header (RFC 9110, section 6.5.1).
-    if (!head_read_) {
-      message.fields.push_back({to_std_string(name), to_std_string(value)});
+    if (head_read_) {
+      ++trailer_fields;
+      return;
     }
+    message.fields.push_back({to_std_string(name), to_std_string(value)});
   }
   void on_header_impl(boost_error& ec) override {
     head_read_ = true;
@@ -98,6 +101,45 @@
   bool head_read_ = false;
 };
 
+bool starts_with_blank(std::string_view line) {
+  return !line.empty() && (line.front() == ' ' || line.front() == '\t');
+}
+
+constexpr std::string_view line_end = "\r\n";
+
+/// Whether one of the lines continues the line before, which is obsolete (RFC 9112,
+/// section 5.2).
+bool has_folded_line(std::string_view lines) {
+  for (std::size_t end = lines.find(line_end); end != std::string_view::npos;
+       end = lines.find(line_end, end + 1)) {
+    if (starts_with_blank(lines.substr(end + line_end.size()))) {
+      return true;
+    }
+  }
+  return false;
+}
+
+/// @return The part of parsed bytes that belongs to a head.
+/// @param continued Whether the bytes before them belong to it as well.
+std::string_view take_head(std::string_view parsed, bool continued) {
+  if (continued && parsed.substr(0, line_end.size()) == line_end) {
+    return {};
+  }
+  const std::size_t end = parsed.find("\r\n\r\n");
+  return parsed.substr(0, end);
+}
+
+/// @return The last lines before the empty line that ends a trailer.
+std::string_view take_last_lines(std::string_view parsed, std::size_t count) {
+  parsed.remove_suffix(line_end.size());
+  std::size_t start = parsed.size();
+  for (; count > 0 && start > line_end.size(); --count) {
+    const std::size_t end_before = parsed.rfind(line_end, start - line_end.size() - 1);
+    start = end_before == std::string_view::npos ? 0 : end_before + line_end.size();
+  }
+  return parsed.substr(start);
+}
+
 template <typename Parser>
 void configure(Parser& parser, const parse_limits& limits) {
   parser.eager(true);
@@ -201,7 +243,24 @@
 response_parser::~response_parser() = default;
 
 parse_progress response_parser::feed(std::string_view bytes) {
-  return feed_parser(parser_->beast_parser, bytes);
+  const bool continued = started();
+  const bool in_head = !header_complete();
+  const parse_progress progress = feed_parser(parser_->beast_parser, bytes);
+  const std::string_view parsed = bytes.substr(0, progress.consumed);
+  const bool folded =
+      (in_head && has_folded_line(take_head(parsed, continued))) ||
+      (progress.state == parse_state::complete && has_folded_trailer(parsed));
+  return folded ? parse_progress{parse_state::malformed, progress.consumed} : progress;
+}
+
+bool response_parser::has_folded_trailer(std::string_view parsed) const {
+  const std::size_t fields = parser_->beast_parser.trailer_fields;
+  if (fields == 0) {
+    return false;
+  }
+  // With a folded line there are more lines than fields, and the first one is none.
+  const std::string_view lines = take_last_lines(parsed, fields);
+  return starts_with_blank(lines) || has_folded_line(lines);
 }
 
 bool response_parser::finish() {
--- a/src/ibis/http/parser_test.cpp
+++ b/src/ibis/http/parser_test.cpp
@@ -252,6 +252,74 @@
   }
 }
 
+/// @return The state after the byte that ends the response or breaks it off.
+parse_state feed_bytewise(const std::string& text) {
+  response_parser parser({1024, 64}, false);
+  std::string input;
+  parse_progress progress;
+  for (std::size_t i = 0; i < text.size() && progress.state == parse_state::need_more;
+       ++i) {
+    input += text[i];
+    progress = parser.feed(input);
+    input.erase(0, progress.consumed);
+  }
+  return progress.state;
+}
+
+/// Names of fields that hold a blank or a control byte, also where a field begins with
+/// one, which looks like the folded line of the field before.
+std::vector<std::string> odd_field_names() {
+  std::vector<std::string> names{"",       "Content Length", "X-Odd ",
+                                 " X-Odd", "\tX-Odd",        "X-Odd\t"};
+  constexpr char first_printable = 0x21;
+  constexpr char delete_byte = 0x7f;
+  for (char byte = 0; byte < first_printable; ++byte) {
+    names.push_back(std::string("X-") + byte + "Odd");
+    names.push_back(std::string(1, byte) + "X-Odd");
+    names.push_back(std::string("X-Odd") + byte);
+  }
+  names.push_back(std::string("X-") + delete_byte + "Odd");
+  return names;
+}
+
+TEST_CASE("A response with a blank or a control byte in a field's name is malformed") {
+  const std::string start = "HTTP/1.1 200 OK\r\n";
+  for (const std::string& name : odd_field_names()) {
+    INFO(name);
+    const std::string odd = name + ": 1\r\n";
+    const std::string length = "Content-Length: 2\r\n";
+    const std::string chunked = "Transfer-Encoding: chunked\r\n";
+    for (const std::string& text :
+         {start + odd + length + "\r\nab", start + length + odd + "\r\nab",
+          start + chunked + odd + "\r\n2\r\nab\r\n0\r\n\r\n",
+          start + chunked + "\r\n2\r\nab\r\n0\r\n" + odd + "\r\n",
+          start + chunked + "\r\n2\r\nab\r\n0\r\nX-First: 1\r\n" + odd + "\r\n",
+          "HTTP/1.1 103 Early\r\n" + odd + "\r\n",
+          "HTTP/1.1 103 Early\r\nX-First: 1\r\n" + odd + "\r\n"}) {
+      INFO(text);
+      response_parser parser({1024, 64}, false);
+      CHECK(parser.feed(text).state == parse_state::malformed);
+      CHECK(feed_bytewise(text) == parse_state::malformed);
+    }
+  }
+}
+
+TEST_CASE("Blanks after a line's end in a body or around a value are no folded lines") {
+  for (const std::string& text : {
+           std::string("HTTP/1.1 200 OK\r\nX: \ta b \t\r\nContent-Length: 8\r\n\r\n"
+                       "\r\n a\r\n\tb"),
+           std::string("HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\n\r\n\r\n a b"),
+           std::string("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                       "7\r\n\r\n a\r\n \r\n0\r\nX-Last:  1 \r\nY: \r\n\r\n"),
+           std::string("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"),
+       }) {
+    INFO(text);
+    response_parser parser({1024, 64}, false);
+    CHECK(parser.feed(text).state == parse_state::complete);
+    CHECK(feed_bytewise(text) == parse_state::complete);
+  }
+}
+
 TEST_CASE("A response to HEAD has no body") {
   response_parser parser(limits, true);
   const auto progress = parser.feed("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n");
