Runtime: a leaf's reply to a relay has a limit in all its parts

What callers would have seen: a leaf that sends bytes without end makes the relay keep them until the request's time limit; a relay that runs out of memory ends the requests of all its callers.

Cause: the parser limits a head and a body, but not a chunk's extension or a trailer, and a body might have 64 MB.

Why this works: http_client counts the bytes of a response. A relay takes 8 MB from a leaf; a longer reply could not be passed on. Calls of the store have 64 MB in all, as their bodies had.

--- a/include/ibis/runtime/http_call_queue.hpp
+++ b/include/ibis/runtime/http_call_queue.hpp
@@ -17,8 +17,10 @@
  public:
   /// The connection is opened by the first call.
   /// @param mode When a call is sent again.
+  /// @param max_response_bytes See `http_client`.
   http_call_queue(asio::io_context& io, const asio::ip::tcp::endpoint& peer,
-                  http_client::retry_mode mode = http_client::retry_mode::never);
+                  http_client::retry_mode mode = http_client::retry_mode::never,
+                  std::size_t max_response_bytes = http_client::default_response_bytes);
 
   /// Queues a call.
   /// @param limit The time limit, counted from when the call is sent, not from when it
--- a/include/ibis/runtime/http_client.hpp
+++ b/include/ibis/runtime/http_client.hpp
@@ -4,6 +4,7 @@
 #include <array>                // for array
 #include <asio/io_context.hpp>  // for io_context
 #include <asio/ip/tcp.hpp>      // for tcp
+#include <cstddef>              // for size_t
 #include <cstdint>              // for uint8_t
 #include <functional>           // for function
 #include <memory>               // for enable_shared_from_this
@@ -31,8 +32,14 @@
   /// the peer sent something that is not an HTTP response.
   using completion_handler = std::function<void(base::result<http::response>)>;
 
+  /// Limit of all bytes of a response, with its framing, unless another one is given.
+  static constexpr std::size_t default_response_bytes = 64UL * 1024 * 1024;
+
   /// The connection is opened by the first call.
-  http_client(asio::io_context& io, const asio::ip::tcp::endpoint& peer);
+  /// @param max_response_bytes A longer response ends its connection with a `protocol`
+  /// error.
+  http_client(asio::io_context& io, const asio::ip::tcp::endpoint& peer,
+              std::size_t max_response_bytes = default_response_bytes);
 
   /// Whether a call is sent again over a new connection, without an error, if the
   /// reused connection was closed before any part of the response arrived.
@@ -53,11 +60,14 @@
   void read(std::uint64_t serial);
   void on_read(const asio::error_code& ec, std::size_t size, std::uint64_t serial);
   void on_connection_closed(const asio::error_code& ec);
+  void fail(const char* detail);
   void finish(base::result<http::response> value);
   void close();
 
   asio::io_context& io_;  // NOLINT(*-avoid-const-or-ref-data-members)
   asio::ip::tcp::endpoint peer_;
+  std::size_t max_response_bytes_;
+  std::size_t received_bytes_ = 0;  ///< Of the current response.
   std::optional<asio::ip::tcp::socket> socket_;
   std::array<char, read_size> read_buffer_{};
   std::string input_;
--- a/src/ibis/reactor/leaf_connection_test.cpp
+++ b/src/ibis/reactor/leaf_connection_test.cpp
@@ -7,12 +7,13 @@
 #include <string>            // for string
 #include <vector>            // for vector
 
+#include "endless_leaf.hpp"  // for endless_answers, endless_leaf
+
 namespace ibis::reactor {
 namespace {
 
 using asio::ip::tcp;
 
-constexpr std::size_t endless_bytes = 256UL * 1024 * 1024;
 /// What a leaf may send before its connection must be closed.
 constexpr std::size_t tolerated_bytes = 16UL * 1024 * 1024;
 
@@ -34,49 +35,6 @@
   return value;
 }
 
-/// A leaf that starts its answer with `head` and then repeats `piece` until the
-/// connection is closed or 256 MB are sent.
-class endless_leaf {
- public:
-  endless_leaf(asio::io_context& io, std::string head, const std::string& piece)
-      : acceptor_(io, tcp::endpoint(asio::ip::address_v4::loopback(), 0)),
-        socket_(io),
-        output_(std::move(head)) {
-    constexpr std::size_t block_bytes = 64UL * 1024;
-    while (block_.size() < block_bytes) {
-      block_ += piece;
-    }
-    acceptor_.async_accept(socket_, [this](const asio::error_code& ec) {
-      if (!ec) {
-        write(output_);
-      }
-    });
-  }
-
-  [[nodiscard]] tcp::endpoint endpoint() const { return acceptor_.local_endpoint(); }
-  [[nodiscard]] std::size_t sent_bytes() const { return sent_bytes_; }
-
- private:
-  void write(const std::string& bytes) {
-    asio::async_write(socket_, asio::buffer(bytes),
-                      [this](const asio::error_code& ec, std::size_t size) {
-                        sent_bytes_ += size;
-                        if (!ec && sent_bytes_ < endless_bytes) {
-                          write(block_);
-                        } else {
-                          asio::error_code ignored;
-                          socket_.close(ignored);
-                        }
-                      });
-  }
-
-  tcp::acceptor acceptor_;
-  tcp::socket socket_;
-  std::string output_;
-  std::string block_;
-  std::size_t sent_bytes_ = 0;
-};
-
 /// How a leaf ends the connection after its last answer.
 enum class leaf_end : std::uint8_t { keep_open, close, reset };
 
@@ -275,36 +233,15 @@
                            leaf_end::close));
 }
 
-struct endless_case {
-  const char* name;
-  std::string head;
-  std::string piece;
-};
-
-std::vector<endless_case> endless_cases() {
-  const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
-  return {
-      {"a line that is no answer", "", "x"},
-      {"lines that are no answer", "", "junk\r\n"},
-      {"a head without end", "HTTP/1.1 200 OK\r\n", "X-Field: value\r\n"},
-      {"a field without end", "HTTP/1.1 200 OK\r\nX-Field: ", "v"},
-      {"a body of unknown length", "HTTP/1.1 200 OK\r\n\r\n", "0123456789"},
-      {"a body of great length", "HTTP/1.1 200 OK\r\nContent-Length: 999999999\r\n\r\n",
-       "0123456789"},
-      {"chunks without end", chunked, "5\r\nabcde\r\n"},
-      {"a chunk extension without end", chunked + "5;", "e"},
-      {"trailers without end", chunked + "0\r\n", "X-Field: value\r\n"},
-      {"interim answers without end", "", "HTTP/1.1 102 Processing\r\n\r\n"},
-      {"answers to another request", "",
-       "HTTP/1.1 200 OK\r\nAnswer-To: other\r\nContent-Length: 1\r\n\r\nx"},
-  };
-}
-
 TEST_CASE("A leaf whose answer has no end loses its connection") {
   const protocol platform_protocol = make_test_protocol();
-  for (const endless_case& value : endless_cases()) {
+  std::vector<tests::endless_answer> answers = tests::endless_answers();
+  answers.push_back(
+      {"answers to another request", "",
+       "HTTP/1.1 200 OK\r\nAnswer-To: other\r\nContent-Length: 1\r\n\r\nx"});
+  for (const tests::endless_answer& value : answers) {
     asio::io_context io;
-    endless_leaf leaf(io, value.head, value.piece);
+    tests::endless_leaf leaf(io, value);
     bool lost = false;
     bool answered = false;
     std::shared_ptr<leaf_connection> connection;
--- a/src/ibis/runtime/http_call_queue.cpp
+++ b/src/ibis/runtime/http_call_queue.cpp
@@ -11,8 +11,11 @@
 
 http_call_queue::http_call_queue(asio::io_context& io,
                                  const asio::ip::tcp::endpoint& peer,
-                                 http_client::retry_mode mode)
-    : client_(std::make_shared<http_client>(io, peer)), mode_(mode), timer_(io) {}
+                                 http_client::retry_mode mode,
+                                 std::size_t max_response_bytes)
+    : client_(std::make_shared<http_client>(io, peer, max_response_bytes)),
+      mode_(mode),
+      timer_(io) {}
 
 bool http_call_queue::add(http::request request, base::milliseconds limit,
                           http_client::completion_handler done) {
--- a/src/ibis/runtime/http_client.cpp
+++ b/src/ibis/runtime/http_client.cpp
@@ -10,7 +10,7 @@
 namespace ibis::runtime {
 namespace {
 
-constexpr http::parse_limits response_limits{64 * 1024, 64ULL * 1024 * 1024};
+constexpr std::uint32_t max_header_bytes = 64 * 1024;
 /// While a watch waits for a change, a healthy store sends nothing, so only the
 /// kernel's keep-alive probes can tell that the store is still there.
 constexpr keepalive_limits store_keepalive{std::chrono::seconds(1),
@@ -18,8 +18,9 @@
 
 }  // namespace
 
-http_client::http_client(asio::io_context& io, const asio::ip::tcp::endpoint& peer)
-    : io_(io), peer_(peer) {}
+http_client::http_client(asio::io_context& io, const asio::ip::tcp::endpoint& peer,
+                         std::size_t max_response_bytes)
+    : io_(io), peer_(peer), max_response_bytes_(max_response_bytes) {}
 
 void http_client::call(const http::request& request, retry_mode mode,
                        completion_handler done) {
@@ -30,7 +31,8 @@
   output_.clear();
   input_.clear();
   http::append_request(output_, request);
-  parser_.emplace(response_limits, false);
+  parser_.emplace(http::parse_limits{max_header_bytes, max_response_bytes_}, false);
+  received_bytes_ = 0;
   sent_ = false;
   const bool reused = socket_.has_value();
   may_retry_ = reused && mode == retry_mode::on_closed_connection;
@@ -99,6 +101,11 @@
     on_connection_closed(ec);
     return;
   }
+  received_bytes_ += size;
+  if (received_bytes_ > max_response_bytes_) {
+    fail("received a response without end");
+    return;
+  }
   input_.append(read_buffer_.data(), size);
   const http::parse_progress progress = parser_->feed(input_);
   input_.erase(0, progress.consumed);
@@ -107,9 +114,7 @@
     return;
   }
   if (progress.state != http::parse_state::complete || !input_.empty()) {
-    close();
-    finish(base::error{base::error_code::protocol, "read response", to_text(peer_),
-                       "received bytes that are not an HTTP response"});
+    fail("received bytes that are not an HTTP response");
     return;
   }
   http::response value = parser_->take();
@@ -139,6 +144,12 @@
                      ec ? ec.message() : "connection closed"});
 }
 
+void http_client::fail(const char* detail) {
+  close();
+  finish(
+      base::error{base::error_code::protocol, "read response", to_text(peer_), detail});
+}
+
 void http_client::finish(base::result<http::response> value) {
   const completion_handler done = std::exchange(done_, nullptr);
   if (done) {
--- a/src/ibis/runtime/leaf_client.cpp
+++ b/src/ibis/runtime/leaf_client.cpp
@@ -7,6 +7,7 @@
 #include "ibis/runtime/address.hpp"          // for to_endpoint
 #include "ibis/runtime/http_call_queue.hpp"  // for http_call_queue
 #include "ibis/runtime/leaf_protocol.hpp"    // for write_leaf_request
+#include "ibis/wire/codec.hpp"               // for max_body_size
 
 namespace ibis::runtime {
 namespace {
@@ -14,6 +15,8 @@
 using response_result = base::result<http::response>;
 
 constexpr unsigned http_ok = 200;
+/// A longer reply could not be passed on in a frame.
+constexpr std::size_t max_reply_bytes = wire::max_body_size;
 
 http::request make_request(const char* method, const char* path,
                            const std::string& address, std::string body) {
@@ -76,7 +79,9 @@
     if (!endpoint) {
       return std::nullopt;
     }
-    return leaf_link{address, std::make_shared<http_call_queue>(io, endpoint.value())};
+    return leaf_link{address, std::make_shared<http_call_queue>(
+                                  io, endpoint.value(), http_client::retry_mode::never,
+                                  max_reply_bytes)};
   }
 
   /// @return The leaf's control link, which is made if needed; nullptr if the address
