Serving: an entry that names no leaf is not counted as a removal

What callers would have seen: requests at a leaf whose record was removed for 0.5 s longer, while four or more entries of another writer changed with it.

Cause: more than three removals at once look like records that expired together and may come back. A change without a usable record counted as a removal, also where no leaf was known by its name.

Evidence: the test, ten such changes beside a removal, fails on the code before: the leaf stays.

Why this works: only a known leaf can be removed, so that only those count.

--- a/src/ibis/serving/registry.cpp
+++ b/src/ibis/serving/registry.cpp
@@ -197,8 +197,9 @@
 void apply_changes(const std::vector<leaf_change>& received, context& ctx) {
   const std::vector<leaf_change> changes = latest_changes(received);
   const auto removals = static_cast<std::size_t>(
-      std::count_if(changes.begin(), changes.end(),
-                    [](const leaf_change& change) { return !change.record; }));
+      std::count_if(changes.begin(), changes.end(), [&ctx](const leaf_change& change) {
+        return !change.record && ctx.node.leafs.contains(change.id);
+      }));
   const bool may_be_expiry =
       is_store_unreliable(ctx.node, ctx.now) || removals > max_unrelated_removals;
   for (const leaf_change& change : changes) {
--- a/src/ibis/serving/registry_test.cpp
+++ b/src/ibis/serving/registry_test.cpp
@@ -78,4 +78,19 @@
   CHECK(registry.node.leafs.at("a")->leaving);
 }
 
+// Guards against entries of another writer, which name no leafs, that make the removal
+// of a leaf look like one of many records that expired together: it would get requests
+// for longer than a removed leaf may.
+TEST_CASE("Changes of entries that name no leaf delay no leaf's removal") {
+  constexpr int odd_entries = 10;
+  registry_of_one registry;
+  topic_changed changed{store_topic::leafs, 11, {}, {}, {}};
+  for (int i = 0; i < odd_entries; ++i) {
+    changed.leafs.push_back({"odd " + std::to_string(i), std::nullopt});
+  }
+  changed.leafs.push_back({"a", std::nullopt});
+  reduce(registry.node, changed, start_time);
+  CHECK_FALSE(registry.node.leafs.contains("a"));
+}
+
 }  // namespace ibis::serving
