--- a/src/ibis/policy/claim.cpp
+++ b/src/ibis/policy/claim.cpp
@@ -329,20 +329,27 @@
   claims.submits.erase(id);
 }
 
-bool is_expired(const claim_table& claims, const std::string& key,
-                base::milliseconds unix_time) {
+/// @return When a claim was created, by its key; nothing if no claim has such a key.
+std::optional<base::milliseconds> created_at(const std::string& key) {
   const std::size_t slash = key.find_last_of('/');
-  const auto created_at = base::uuid_v7_time(key.substr(slash + 1));
-  return created_at &&
-         *created_at + claims.tuning.key_lifetime + claims.tuning.clock_skew * 2 <
-             unix_time;
+  return base::uuid_v7_time(key.substr(slash + 1));
+}
+
+bool is_expired(const claim_table& claims, base::milliseconds created,
+                base::milliseconds unix_time) {
+  return created + claims.tuning.key_lifetime + claims.tuning.clock_skew * 2 <
+         unix_time;
 }
 
 void remove_expired_claims(const claim_table& claims, platform_call_table& platform,
                            const platform_replied& reply, context& ctx) {
   for (const platform_object& object : reply.objects) {
-    if (!is_expired(claims, object.key, claims.last_sweep_time)) {
-      return;  // Objects are listed oldest first.
+    const auto created = created_at(object.key);
+    if (!created) {
+      continue;  // Another writer's.
+    }
+    if (!is_expired(claims, *created, claims.last_sweep_time)) {
+      return;  // Claims are listed oldest first.
     }
     platform_request request;
     request.purpose = platform_purpose::claim_sweep_remove;
--- a/tests/claim_faults_test.cpp
+++ b/tests/claim_faults_test.cpp
@@ -216,6 +216,25 @@
   CHECK(tier->store.get(new_key).has_value());
 }
 
+// Guards against one entry of another writer that keeps all expired claims in the
+// store.
+TEST_CASE("Sweeping passes over an entry that is no claim") {
+  const auto tier = make_tier(submit_shape());
+  standins::stored_object ignored;
+  const std::string old_key =
+      policy::claim_key(base::make_uuid_v7(received_at - std::chrono::hours(30), 1, 1));
+  const std::vector<std::string> odd_keys{"claims/", "claims/ &+#%", "claims/0/odd"};
+  for (const std::string& key : odd_keys) {
+    tier->store.put(key, "odd", {}, ignored);
+  }
+  tier->store.put(old_key, "{}", {}, ignored);
+  tier->run_for(seconds(12));
+  CHECK_FALSE(tier->store.get(old_key).has_value());
+  for (const std::string& key : odd_keys) {
+    CHECK(tier->store.get(key).has_value());
+  }
+}
+
 /// Runs random submits under random faults at random times.
 void run_random_faults(std::uint64_t seed) {
   const auto tier = make_tier(submit_shape(seed));
