Runtime: an object of a listing that cannot be read hides no other

What operators would have seen: one entry of another writer without a proper key, version or value made a listing of the platform's objects count as unavailable, so that expired claims were never swept.

Cause: the reader of entries and relays took a response whole or not at all.

Why this works: each item is judged by its own fields; those that are no objects are left out, and their number is logged. A response that is no JSON still counts as unavailable.

--- a/src/ibis/runtime/platform_client.cpp
+++ b/src/ibis/runtime/platform_client.cpp
@@ -6,11 +6,13 @@
 #include <deque>               // for deque
 #include <mutex>               // for mutex
 #include <nlohmann/json.hpp>   // for json
+#include <optional>            // for optional
 #include <thread>              // for thread
 #include <utility>             // for move
 #include <vector>              // for vector
 
 #include "ibis/runtime/address.hpp"  // for parse_address
+#include "ibis/runtime/log.hpp"      // for write_log
 
 namespace ibis::runtime {
 namespace {
@@ -87,25 +89,62 @@
   }
 }
 
-policy::platform_object read_object(const json& item) {
-  return {item.at("key").get<std::string>(), item.at("version").get<std::uint64_t>(),
-          item.value("value", std::string())};
+/// @return Nothing if the item is no object of the platform.
+std::optional<policy::platform_object> read_object(const json& item) {
+  const auto has = [&item](const char* name, json::value_t type) {
+    const auto found = item.find(name);
+    return found != item.end() && found->type() == type;
+  };
+  const bool valid = item.is_object() && has("key", json::value_t::string) &&
+                     has("version", json::value_t::number_unsigned) &&
+                     (has("value", json::value_t::string) || !item.contains("value"));
+  if (!valid) {
+    return std::nullopt;
+  }
+  return policy::platform_object{item["key"].get<std::string>(),
+                                 item["version"].get<std::uint64_t>(),
+                                 item.value("value", std::string())};
 }
 
-std::vector<policy::platform_object> read_objects(const std::string& body) {
+/// Reads the objects of a listing. Those that another writer left unreadable are logged
+/// and left out.
+std::vector<policy::platform_object> read_listing(const json& items) {
   std::vector<policy::platform_object> objects;
+  std::size_t unreadable = 0;
+  for (const json& item : items) {
+    if (auto object = read_object(item)) {
+      objects.push_back(std::move(*object));
+    } else {
+      ++unreadable;
+    }
+  }
+  if (unreadable > 0) {
+    write_log({policy::log_level::warning,
+               "objects of the platform cannot be read",
+               {{"count", std::to_string(unreadable)}}});
+  }
+  return objects;
+}
+
+/// @return The objects of a response; nothing if it cannot be read.
+std::optional<std::vector<policy::platform_object>> read_objects(
+    const std::string& body) {
+  using objects = std::vector<policy::platform_object>;
   if (body.empty()) {
-    return objects;
+    return objects{};
   }
-  const json root = json::parse(body);
+  const json root = json::parse(body, nullptr, false);
   if (root.is_array()) {
-    for (const json& item : root) {
-      objects.push_back(read_object(item));
-    }
-  } else if (root.contains("key")) {
-    objects.push_back(read_object(root));
+    return read_listing(root);
   }
-  return objects;
+  if (!root.is_object()) {
+    return std::nullopt;
+  }
+  if (!root.contains("key")) {
+    return objects{};
+  }
+  auto object = read_object(root);
+  return object ? std::optional(objects{std::move(*object)}) : std::nullopt;
 }
 
 policy::platform_replied make_call(httplib::Client& client,
@@ -118,11 +157,11 @@
   if (!reply) {
     return {call.call, platform_outcome::unavailable, {}};
   }
-  try {
-    return {call.call, outcome_of(reply->status), read_objects(reply->body)};
-  } catch (const json::exception&) {
+  auto objects = read_objects(reply->body);
+  if (!objects) {
     return {call.call, platform_outcome::unavailable, {}};
   }
+  return {call.call, outcome_of(reply->status), std::move(*objects)};
 }
 
 }  // namespace
