Tests: odd bytes in a response's status line and values

Handled already: a control byte in the reason or in a value, other versions and separators, a bare line feed.

--- a/src/ibis/http/parser.cpp
+++ b/src/ibis/http/parser.cpp
@@ -258,7 +258,8 @@
   if (fields == 0) {
     return false;
   }
-  // With a folded line there are more lines than fields, and the first one is none.
+  // The first line of a trailer starts a field. So if there are more lines than fields,
+  // one of the last lines continues a field.
   const std::string_view lines = take_last_lines(parsed, fields);
   return starts_with_blank(lines) || has_folded_line(lines);
 }
--- a/src/ibis/http/parser_test.cpp
+++ b/src/ibis/http/parser_test.cpp
@@ -252,6 +252,34 @@
   }
 }
 
+TEST_CASE("A response with an odd byte in its status line or in a value is malformed") {
+  const std::string rest = "Content-Length: 0\r\n\r\n";
+  std::vector<std::string> texts{
+      "HTTP/1.1  200 OK\r\n" + rest,     "HTTP/1.1\t200 OK\r\n" + rest,
+      "HTTP/1.1 200OK\r\n" + rest,       "HTTP/1.1 200\tOK\r\n" + rest,
+      "HTTP/2.0 200 OK\r\n" + rest,      "HTTP/0.9 200 OK\r\n" + rest,
+      "http/1.1 200 OK\r\n" + rest,      "HTTP/1.1 200 OK\n" + rest,
+      " HTTP/1.1 200 OK\r\n" + rest,     "\r\nHTTP/1.1 200 OK\r\n" + rest,
+      "HTTP/1.1 200 OK\r\r\n" + rest,    "HTTP/1.1 200 OK\r\nX: a\n" + rest,
+      "HTTP/1.1 200 OK\r\nX\r\n" + rest, "HTTP/1.1 200 OK\r\n: x\r\n" + rest};
+  constexpr char first_printable = 0x20;
+  constexpr char delete_byte = 0x7f;
+  for (char byte = 0; byte < first_printable; ++byte) {
+    if (byte != '\t') {
+      texts.push_back(std::string("HTTP/1.1 200 O") + byte + "K\r\n" + rest);
+      texts.push_back(std::string("HTTP/1.1 200 OK\r\nX: a") + byte + "b\r\n" + rest);
+    }
+  }
+  texts.push_back(std::string("HTTP/1.1 200 O") + delete_byte + "K\r\n" + rest);
+  texts.push_back(std::string("HTTP/1.1 200 OK\r\nX: a") + delete_byte + "b\r\n" +
+                  rest);
+  for (const std::string& text : texts) {
+    INFO(text);
+    response_parser parser({1024, 64}, false);
+    CHECK(parser.feed(text).state == parse_state::malformed);
+  }
+}
+
 /// @return The state after the byte that ends the response or breaks it off.
 parse_state feed_bytewise(const std::string& text) {
   response_parser parser({1024, 64}, false);
