--- a/include/ibis/serving/state.hpp
+++ b/include/ibis/serving/state.hpp
@@ -108,6 +108,8 @@
   const serving::route* route = nullptr;
   std::shared_ptr<const serving::route> own_route;  ///< Of another node's request.
   std::optional<remote_caller> remote;  ///< The node that asked, if it was no client.
+  std::string account;         ///< Name of the client account; empty if there is none.
+  std::uint32_t priority = 0;  ///< 0 is the most urgent.
   base::time_point arrived{};
   base::time_point deadline{};  ///< When the client stops waiting.
   /// The earlier of `deadline` and the route's timeout.
--- a/include/ibis/wire/messages.hpp
+++ b/include/ibis/wire/messages.hpp
@@ -242,6 +242,7 @@
   std::vector<std::vector<std::uint32_t>> allowed_leafs;
   /// How many other nodes may have sent this request to leafs before.
   std::uint32_t sent_before = 0;
+  std::string account;  ///< Name of the client account; empty if there is none.
   bool operator==(const shards_request&) const = default;
 };
 
--- a/src/ibis/serving/pending_request.cpp
+++ b/src/ibis/serving/pending_request.cpp
@@ -241,6 +241,7 @@
   pending.request = event.request;
   pending.configuration = ctx.node.configuration;
   pending.route = matched;
+  pending.priority = matched->priority;
   pending.arrived = ctx.now;
   pending.deadline = ctx.now + deadline;
   pending.effective_deadline = ctx.now + timeout;
--- a/src/ibis/serving/shard_replies.cpp
+++ b/src/ibis/serving/shard_replies.cpp
@@ -180,6 +180,8 @@
   pending.configuration = ctx.node.configuration;
   pending.own_route = make_route(request);
   pending.route = pending.own_route.get();
+  pending.account = request.account;
+  pending.priority = request.priority;
   pending.arrived = ctx.now;
   pending.deadline = ctx.now + request.remaining - event.delay;
   pending.effective_deadline = pending.deadline;
--- a/src/ibis/serving/shard_requests.cpp
+++ b/src/ibis/serving/shard_requests.cpp
@@ -53,12 +53,13 @@
   value.top = static_cast<std::uint32_t>(pending.route->top);
   value.min_shard_share = pending.route->min_shard_share;
   value.max_leafs = pending.route->max_leafs;
-  value.priority = pending.route->priority;
+  value.priority = pending.priority;
   value.objective = pending.route->objective;
   value.progress = progress_delay(pending, ctx);
   value.reply = to_us(pending.objective_deadline - ctx.now - margin);
   value.remaining = to_us(pending.effective_deadline - ctx.now - margin);
   value.sent_before = state.sent_before;
+  value.account = pending.account;
   return value;
 }
 
--- a/src/ibis/serving/waiting_tasks.cpp
+++ b/src/ibis/serving/waiting_tasks.cpp
@@ -27,12 +27,12 @@
   return pending.tasks.size() - pending.given_up <= required_shards(*pending.route);
 }
 
-/// Orders critical requests first, then by the route's priority.
+/// Orders critical requests first, then by priority.
 bool has_precedence(const pending_request& first, const pending_request& second) {
   if (is_critical(first) != is_critical(second)) {
     return is_critical(first);
   }
-  return first.route->priority < second.route->priority;
+  return first.priority < second.priority;
 }
 
 /// @return The task to send next: one of a critical request before others, then the
--- a/src/ibis/wire/codec.cpp
+++ b/src/ibis/wire/codec.cpp
@@ -190,14 +190,15 @@
     const auto body = out.CreateString(value.body);
     const auto shards = out.CreateVectorOfStrings(value.shards);
     const auto allowed = write_list(out, value.allowed_leafs, write_tags);
-    finish(
-        fb::body::shards_request,
-        fb::Createshards_request(
-            out, value.call.value, route, method, target, host, request_id, head, body,
-            shards, value.top, value.min_shard_share, value.max_leafs, value.priority,
-            value.objective.count(), value.progress.count(), value.reply.count(),
-            value.remaining.count(), value.sent_at.count(), value.sent_before, allowed)
-            .Union());
+    const auto account = out.CreateString(value.account);
+    finish(fb::body::shards_request,
+           fb::Createshards_request(
+               out, value.call.value, route, method, target, host, request_id, head,
+               body, shards, value.top, value.min_shard_share, value.max_leafs,
+               value.priority, value.objective.count(), value.progress.count(),
+               value.reply.count(), value.remaining.count(), value.sent_at.count(),
+               value.sent_before, allowed, account)
+               .Union());
   }
   void operator()(const shards_reply& value) const {
     const auto covered = write_list(out, value.covered, write_covered);
@@ -359,6 +360,7 @@
   value.remaining = base::microseconds(source.remaining_us());
   value.sent_at = base::microseconds(source.sent_at_us());
   value.sent_before = source.sent_before();
+  value.account = read_string(source.account());
   value.allowed_leafs = read_list<std::vector<std::uint32_t>>(
       source.allowed_leafs(),
       [](const auto& item) { return read_numbers(item.tags()); });
--- a/src/ibis/wire/codec_test.cpp
+++ b/src/ibis/wire/codec_test.cpp
@@ -78,6 +78,7 @@
   request.remaining = base::microseconds(800000);
   request.sent_at = base::microseconds(123456789);
   request.sent_before = 2;
+  request.account = "north-desk";
   request.allowed_leafs = {{17, 4000000000U}, {}};
   return request;
 }
