--- a/include/ibis/serving/catalog.hpp
+++ b/include/ibis/serving/catalog.hpp
@@ -6,13 +6,15 @@
 #include <cstddef>        // for size_t
 #include <cstdint>        // for uint64_t
 #include <memory>         // for shared_ptr
+#include <optional>       // for optional
 #include <string>         // for string
 #include <string_view>    // for string_view
 #include <unordered_map>  // for unordered_map
 #include <unordered_set>  // for unordered_set
 #include <vector>         // for vector
 
-#include "ibis/base/time.hpp"  // for milliseconds
+#include "ibis/access/accounts.hpp"  // for account_table
+#include "ibis/base/time.hpp"        // for milliseconds
 
 namespace ibis::serving {
 
@@ -39,6 +41,7 @@
   base::milliseconds timeout{0};    ///< Longest time until a request is answered.
   base::milliseconds objective{0};  ///< Target latency as seen by the client.
   std::uint32_t priority = 0;       ///< 0 is the most urgent.
+  bool allow_anonymous = false;     ///< Requests need no access key.
   std::uint32_t max_leafs = 1;  ///< Different leafs that may get a task of a request.
   std::vector<weighted_service> targets;  ///< For `single` and `split`.
   std::vector<std::string> shards;        ///< For `fan_out`: one service per shard.
@@ -66,6 +69,8 @@
   std::vector<route> routes;
   std::unordered_map<std::string, service> services;  ///< By name.
   client_limits limits;
+  /// The client accounts; nothing if requests need no access key.
+  std::optional<access::account_table> accounts;
   /// Indices into `routes` by host, longest prefix first. Filled by `index_routes`.
   std::unordered_map<std::string, std::vector<std::size_t>> by_host;
   /// Names of the services that some route uses. Filled by `index_routes`.
