--- a/include/ibis/access/accounts.hpp
+++ b/include/ibis/access/accounts.hpp
@@ -3,6 +3,7 @@
 
 #include <cstddef>        // for size_t
 #include <cstdint>        // for uint32_t
+#include <functional>     // for function
 #include <optional>       // for optional
 #include <string>         // for string
 #include <string_view>    // for string_view
@@ -26,6 +27,22 @@
   std::unordered_map<std::string, std::size_t> by_key;  ///< Indices into `accounts`.
 };
 
+/// An account as a configuration states it, before it was checked.
+struct account_entry {
+  account value;
+  std::vector<std::string> keys;
+};
+
+/// Is called with the name of an account and what is wrong with it.
+using account_warning = std::function<void(const std::string&, const char*)>;
+
+/// Builds the table of a configuration's accounts. An entry whose name cannot stand in
+/// a header field defines no account. Of entries with the same name the first counts,
+/// and the keys of all are its keys. A key that two accounts state identifies neither,
+/// and an empty key never matches. A rate or burst that is negative or not finite is 0.
+account_table make_account_table(const std::vector<account_entry>& entries,
+                                 const account_warning& warn);
+
 /// @return The account that an access key belongs to, or nullptr.
 const account* find_account(const account_table& table, std::string_view key);
 
--- a/include/ibis/serving/effect.hpp
+++ b/include/ibis/serving/effect.hpp
@@ -69,6 +69,7 @@
   inbound_request_ptr request;
   std::string leaf_id;  ///< Expected leaf; any other must refuse the request.
   base::milliseconds remaining{0};  ///< Remaining time until the request's deadline.
+  std::string account{};  ///< Name of the client account; empty if there is none.
 };
 
 /// Lists a page of a topic.
--- a/include/ibis/serving/inbound_request.hpp
+++ b/include/ibis/serving/inbound_request.hpp
@@ -18,8 +18,15 @@
   std::string id;
   std::optional<base::milliseconds> deadline;  ///< How long the client waits.
   /// Request line and header fields as sent to leafs, without the fields that differ
-  /// from leaf to leaf and without the empty line that ends the header.
+  /// from leaf to leaf, without `access_fields` and without the empty line that ends
+  /// the header.
   std::string head;
+  /// The client's only access key; nothing if it states none, or several. Must not be
+  /// passed on or logged.
+  std::optional<std::string> access_key;
+  /// The header fields with the client's access key and with the account that it says
+  /// it has, as received and serialized as in `head`.
+  std::string access_fields;
   std::string body;
 };
 
--- a/include/ibis/serving/settings.hpp
+++ b/include/ibis/serving/settings.hpp
@@ -3,6 +3,7 @@
 
 #include <cstddef>  // for size_t
 
+#include "ibis/access/authorize.hpp"      // for access_settings
 #include "ibis/base/time.hpp"             // for milliseconds
 #include "ibis/serving/extra_budget.hpp"  // for extra_budget_settings
 
@@ -155,6 +156,7 @@
   peer_settings peers;
   holder_settings holders;
   stop_settings stop;
+  access::access_settings access;
   extra_budget_settings budget;  ///< For all nodes together.
   /// Time that a request and its answer travel between client and node; subtracted from
   /// a route's objective.
--- a/include/ibis/serving/state.hpp
+++ b/include/ibis/serving/state.hpp
@@ -14,6 +14,7 @@
 #include <utility>        // for move, pair
 #include <vector>         // for vector
 
+#include "ibis/access/request_counts.hpp"  // for request_counts
 #include "ibis/base/id.hpp"                // for block_call_id, caller_id
 #include "ibis/base/timer_queue.hpp"       // for basic_timer_queue
 #include "ibis/policy/latency_window.hpp"  // for latency_window
@@ -264,7 +265,10 @@
   std::uint64_t shard_calls = 0;           ///< Requests for shards to holders.
   std::uint64_t shard_calls_repeated = 0;  ///< Of them, after a holder was lost.
   std::uint64_t holders_silent = 0;
-  std::uint64_t shards_served = 0;  ///< Requests for shards from other nodes.
+  std::uint64_t shards_served = 0;   ///< Requests for shards from other nodes.
+  std::uint64_t unknown_keys = 0;    ///< Requests refused for their access key.
+  std::uint64_t outdated_views = 0;  ///< Requests refused since the view is too old.
+  access::request_counts accounts;   ///< Clients' requests that were not refused so.
 };
 
 /// Number of nodes assumed until they are counted. It is high, so that a new node
--- a/src/ibis/reactor/node_metrics.cpp
+++ b/src/ibis/reactor/node_metrics.cpp
@@ -123,6 +123,21 @@
   write_counter(out, "holder_requests_repeated", count.shard_calls_repeated);
   write_counter(out, "holders_silent", count.holders_silent);
   write_counter(out, "holder_requests_served", count.shards_served);
+  write_counter(out, "requests_unknown_key", count.unknown_keys);
+  write_counter(out, "requests_outdated_view", count.outdated_views);
+}
+
+/// Writes the number of requests of each account. Nothing without accounts.
+void write_accounts(std::ostringstream& out, const access::request_counts& accounts) {
+  if (accounts.by_name().empty()) {
+    return;
+  }
+  out << "# TYPE ibis_account_requests_total counter\n";
+  for (const auto& [name, count] : accounts.by_name()) {
+    out << "ibis_account_requests_total{account=\"" << escape_label(name) << "\"} "
+        << count << '\n';
+  }
+  write_counter(out, "account_requests_others", accounts.others());
 }
 
 void write_process(std::ostringstream& out) {
@@ -160,6 +175,7 @@
         << metrics.outcomes[i] << '\n';
   }
   write_counters(out, node.count);
+  write_accounts(out, node.count.accounts);
   write_gauge(out, "requests_in_flight",
               static_cast<double>(node.pending_requests.size()));
   write_gauge(out, "leafs", static_cast<double>(node.leafs.size()));
--- a/src/ibis/reactor/process_settings.cpp
+++ b/src/ibis/reactor/process_settings.cpp
@@ -68,6 +68,16 @@
   propagation.read("leafs_ms", leafs, shortest, max_margin);
   propagation.report_unknown_keys();
   serving::fit_propagation(value, std::min(configuration, leafs));
+  value.access.view_limit = configuration;
+}
+
+/// Reads whether and how soon removed access keys must be refused without the store.
+void read_access(config::reader& root, serving::node_settings& value) {
+  config::reader access = root.child("access");
+  access.read("strict_revocation", value.access.strict_revocation);
+  access.read("revocation_ms", value.access.revocation_limit, milliseconds(1),
+              max_margin);
+  access.report_unknown_keys();
 }
 
 void read_holders(config::reader& root, serving::node_settings& value) {
@@ -121,6 +131,7 @@
   read_hedging(root, value.serving);
   read_peers(root, value.serving);
   read_propagation(root, value.serving);
+  read_access(root, value.serving);
   read_holders(root, value.serving);
   root.read("travel_margin_ms", value.serving.travel_margin, milliseconds(0),
             max_margin);
--- a/src/ibis/serving/attempt.cpp
+++ b/src/ibis/serving/attempt.cpp
@@ -97,7 +97,8 @@
   ++ctx.node.count.sends;
   const auto remaining = std::chrono::duration_cast<base::milliseconds>(
       pending.effective_deadline - ctx.now);
-  ctx.out.emplace_back(send_to_leaf{id, pending.request, leaf.record.id, remaining});
+  ctx.out.emplace_back(
+      send_to_leaf{id, pending.request, leaf.record.id, remaining, pending.account});
   ctx.add_timer(ctx.now + late_after, timer_kind::hedge, pending.caller.value, shard);
   ctx.add_timer(late_answer_limit, timer_kind::late_answer_limit, id.value,
                 connection.serial);
--- a/src/ibis/serving/pending_request.cpp
+++ b/src/ibis/serving/pending_request.cpp
@@ -1,21 +1,25 @@
 #include "ibis/serving/pending_request.hpp"
 
 #include <algorithm>  // for any_of, clamp, max, min
+#include <memory>     // for make_shared
 #include <numeric>    // for iota
 #include <utility>    // for move
 
+#include "ibis/access/authorize.hpp"            // for authorize
 #include "ibis/serving/attempt.hpp"             // for dispatch, answer_if_ready
 #include "ibis/serving/connection_quota.hpp"    // for service_budget
 #include "ibis/serving/leaf_choice.hpp"         // for choose_leaf
 #include "ibis/serving/leaf_events.hpp"         // for on_connection_timer
 #include "ibis/serving/request_completion.hpp"  // for refuse_request, reject_request
 #include "ibis/serving/shard_requests.hpp"      // for ask_holders
+#include "ibis/serving/view_age.hpp"            // for view_age
 #include "ibis/serving/waiting_tasks.hpp"       // for on_leaf_capacity
 
 namespace ibis::serving {
 namespace {
 
 constexpr unsigned status_bad_request = 400;
+constexpr unsigned status_unauthorized = 401;
 constexpr unsigned status_not_found = 404;
 /// A request that was sent to no leaf is refused after this fraction of its objective.
 constexpr int first_send_divisor = 4;
@@ -24,6 +28,9 @@
 constexpr base::milliseconds stopping_retry_after{50};
 /// Retry delay while this node has not loaded its routes yet.
 constexpr base::milliseconds starting_retry_after{300};
+/// Retry delay while this node's view of the configuration is too old to judge a key.
+/// Short, since any other node may know the key.
+constexpr base::milliseconds outdated_view_retry_after{100};
 /// Successive multiples of it, modulo 1, are spread evenly over [0, 1).
 constexpr double golden_ratio = 0.6180339887498949;
 
@@ -195,6 +202,54 @@
          ctx.now + timeout > stop.requested_at + ctx.node.settings.stop.limit;
 }
 
+/// @return The request with the header fields about access keys and accounts in its
+/// head, where a configuration without accounts has them.
+inbound_request_ptr with_access_fields(const inbound_request_ptr& received) {
+  if (received->access_fields.empty()) {
+    return received;
+  }
+  auto request = std::make_shared<inbound_request>(*received);
+  request->head += request->access_fields;
+  return request;
+}
+
+/// Sets a request's account, or answers it if its access key does not allow it.
+/// @return Whether the request may be served.
+bool authorize_request(pending_request& pending, context& ctx) {
+  const auto& accounts = pending.configuration->accounts;
+  if (!accounts) {
+    pending.request = with_access_fields(pending.request);
+    return true;
+  }
+  const inbound_request& request = *pending.request;
+  const topic_state& view =
+      ctx.node.topics[static_cast<std::size_t>(store_topic::configuration)];
+  const access::access_decision decision = access::authorize(
+      *accounts,
+      {pending.route->allow_anonymous, request.access_key, view_age(view, ctx.now)},
+      ctx.node.settings.access);
+  switch (decision.result) {
+    case access::access_result::account:
+      pending.account = decision.account->name;
+      pending.priority = decision.account->priority.value_or(pending.route->priority);
+      ctx.node.count.accounts.add(pending.account);
+      return true;
+    case access::access_result::anonymous:
+      return true;
+    case access::access_result::view_too_old:
+      ++ctx.node.count.outdated_views;
+      refuse_request(pending.caller, request, outdated_view_retry_after,
+                     "configuration_outdated", ctx);
+      return false;
+    case access::access_result::unknown_key:
+      break;
+  }
+  ++ctx.node.count.unknown_keys;
+  reject_request(pending.caller, request, status_unauthorized,
+                 request.access_key ? "unknown access key" : "no access key", ctx);
+  return false;
+}
+
 }  // namespace
 
 void start_request(pending_request&& pending, context& ctx) {
@@ -247,7 +302,9 @@
   pending.effective_deadline = ctx.now + timeout;
   pending.objective_deadline =
       ctx.now + answer_time_budget(*matched, event.first_on_connection, ctx);
-  start_request(std::move(pending), ctx);
+  if (authorize_request(pending, ctx)) {
+    start_request(std::move(pending), ctx);
+  }
 }
 
 void on_caller_disconnected(base::caller_id caller, context& ctx) {
