--- a/src/ibis/reactor/process_settings_test.cpp
+++ b/src/ibis/reactor/process_settings_test.cpp
@@ -34,6 +34,9 @@
   leafs_ms: 3000
 hedging:
   quantile: 0.93
+access:
+  strict_revocation: true
+  revocation_ms: 4000
 log:
   requests: false
   lines_per_s: 100
@@ -82,6 +85,9 @@
   CHECK(parsed.value.serving.holders.per_zone == 3);
   CHECK(parsed.value.serving.first_start);
   CHECK(parsed.value.serving.store.probe_period == base::milliseconds(1000));
+  CHECK(parsed.value.serving.access.view_limit == base::milliseconds(5000));
+  CHECK(parsed.value.serving.access.strict_revocation);
+  CHECK(parsed.value.serving.access.revocation_limit == base::milliseconds(4000));
   CHECK_FALSE(parsed.value.log.log_requests);
 }
 
--- a/standins/holder_fleet.cpp
+++ b/standins/holder_fleet.cpp
@@ -107,6 +107,7 @@
   request->host = "h";
   request->id = request_id;
   request->target = target;
+  prepare_request(*request);
   deliver_event(node, serving::request_arrived{caller, request});
   return caller;
 }
@@ -212,6 +213,7 @@
 
 void holder_fleet::carry_out(const std::string& node, const serving::effects& effects) {
   for (const serving::effect& effect : effects) {
+    observe_effect(node, effect);
     if (carry_out_peer_effect(node, effect)) {
       continue;
     }
--- a/standins/holder_fleet.hpp
+++ b/standins/holder_fleet.hpp
@@ -85,6 +85,12 @@
   std::vector<leaf_arrival> arrivals;
   std::vector<client_answer> answers;
   std::size_t peer_messages = 0;  ///< Requests and replies for shards, delivered.
+  /// Is called with each request of a client before a node gets it.
+  std::function<void(serving::inbound_request&)> prepare_request =
+      [](serving::inbound_request&) {};
+  /// Is called with each effect of a node, by its name, before it is carried out.
+  std::function<void(const std::string&, const serving::effect&)> observe_effect =
+      [](const std::string&, const serving::effect&) {};
 
  private:
   struct leaf_connection {
