Serving: the leaf can be chosen by the expected time to finish a request

X-Server-Load of a leaf's answer is read; the node keeps the last report. With leaf_choice.by_cost, requests in flight count with what they are expected to need still, and hedges wait for attempts that are expected to end before them. Off by default; the costs are computed as before then.

--- a/include/ibis/cost/load_report.hpp
+++ b/include/ibis/cost/load_report.hpp
@@ -33,6 +33,9 @@
 /// a second, so that a report says little after a few hundred milliseconds.
 double report_weight(const received_report& received, base::time_point now);
 
+/// @return The pace that a report states, within bounds; 1 if it states none.
+double told_pace(const load_report& report);
+
 /// @return The pace to expect now.
 /// @param usual The pace to expect without a report.
 double current_pace(const received_report& received, double usual,
--- a/include/ibis/serving/event.hpp
+++ b/include/ibis/serving/event.hpp
@@ -12,6 +12,7 @@
 
 #include "ibis/base/id.hpp"                  // for caller_id, connection_id
 #include "ibis/base/time.hpp"                // for milliseconds
+#include "ibis/cost/load_report.hpp"         // for load_report
 #include "ibis/http/message.hpp"             // for header_fields
 #include "ibis/serving/catalog.hpp"          // for catalog_ptr
 #include "ibis/serving/inbound_request.hpp"  // for inbound_request_ptr
@@ -62,8 +63,10 @@
   bool leaf_leaving = false;       ///< The leaf says that it leaves.
   /// For how long the leaf wants no request from this node; nothing if not stated.
   std::optional<base::milliseconds> retry_after;
-  bool retry_after_unreadable = false;  ///< It states a time that is none.
-  http::header_fields fields;           ///< Fields to forward to the client.
+  bool retry_after_unreadable = false;    ///< It states a time that is none.
+  std::optional<cost::load_report> load;  ///< The leaf's load, if it states it.
+  bool load_unreadable = false;           ///< It states a load with invalid values.
+  http::header_fields fields;             ///< Fields to forward to the client.
   std::string body;
 };
 
--- a/include/ibis/serving/leaf_choice.hpp
+++ b/include/ibis/serving/leaf_choice.hpp
@@ -32,6 +32,9 @@
   /// time or longer is avoided while there is another, even a busy one. See
   /// `leaf_settings::slow_share`.
   base::duration useful_for{0};
+  /// What a leaf needs for the request; 0 if unknown or if leafs are not chosen by
+  /// cost.
+  base::duration expected{0};
 };
 
 /// Chooses the leaf with the lowest expected cost among those that can take a request
--- a/include/ibis/serving/leaf_state.hpp
+++ b/include/ibis/serving/leaf_state.hpp
@@ -1,14 +1,17 @@
 /// A node's view of a leaf, and the state of a connection to it.
 #pragma once
 
-#include <cstddef>  // for size_t
-#include <cstdint>  // for uint64_t
-#include <memory>   // for shared_ptr
-#include <string>   // for string
-#include <vector>   // for vector
+#include <cstddef>   // for size_t
+#include <cstdint>   // for uint64_t
+#include <memory>    // for shared_ptr
+#include <optional>  // for optional
+#include <string>    // for string
+#include <vector>    // for vector
 
 #include "ibis/base/id.hpp"              // for caller_id, connection_id
 #include "ibis/base/time.hpp"            // for time_point
+#include "ibis/cost/cost_table.hpp"      // for request_class
+#include "ibis/cost/load_report.hpp"     // for received_report
 #include "ibis/serving/leaf_record.hpp"  // for leaf_record
 #include "ibis/serving/settings.hpp"     // for leaf_settings
 
@@ -26,6 +29,11 @@
   base::connection_id connection;
   base::time_point sent_at{};
   base::duration late_after{0};  ///< Age of the request that makes the leaf suspect.
+  cost::request_class cost_class;
+  base::duration expected{0};  ///< What a leaf needs for it; 0 if unknown.
+  /// When it got a slot, as far as this node can tell; nothing while it waits.
+  std::optional<base::time_point> started_at;
+  bool found_idle_slot = false;  ///< It did not wait behind requests of this node.
 };
 
 /// A node's view of one incarnation of a leaf.
@@ -55,9 +63,10 @@
   base::time_point slowness_updated_at{};
   double failure_rate = 0;  ///< Smoothed share of attempts that failed, 0 to 1.
   base::time_point failure_rate_updated_at{};
-  std::uint32_t connect_failures = 0;  ///< Consecutive failures.
-  base::time_point next_connect_at{};  ///< End of the backoff after a failure.
-  base::time_point warming_until{};    ///< Until then it is slow after its start.
+  std::optional<cost::received_report> load;  ///< The latest load report.
+  std::uint32_t connect_failures = 0;         ///< Consecutive failures.
+  base::time_point next_connect_at{};         ///< End of the backoff after a failure.
+  base::time_point warming_until{};  ///< Until then it is slow after its start.
 };
 
 /// A leaf shared by the node, its service and its connections.
@@ -128,4 +137,10 @@
 double expected_cost(const leaf_state& leaf, bool same_zone, base::time_point now,
                      const leaf_settings& settings);
 
+/// As above.
+/// @param load_cost The part of the cost that depends on the leaf's speed and load; 1
+/// for a healthy, unloaded leaf.
+double expected_cost(const leaf_state& leaf, double load_cost, bool same_zone,
+                     base::time_point now, const leaf_settings& settings);
+
 }  // namespace ibis::serving
--- a/include/ibis/serving/settings.hpp
+++ b/include/ibis/serving/settings.hpp
@@ -39,6 +39,9 @@
   /// at most this long ago, or else on a new one: an older connection may have been
   /// lost without notice.
   base::milliseconds max_fresh_idle{2500};
+  /// Whether the leaf is chosen by the expected times of this request and of those that
+  /// it has, instead of by their number.
+  bool by_cost = false;
   /// A leaf that is expected to take a greater share of the remaining time is avoided
   /// while there is another.
   double slow_share = 0.5;
--- a/include/ibis/serving/state.hpp
+++ b/include/ibis/serving/state.hpp
@@ -16,6 +16,7 @@
 
 #include "ibis/base/id.hpp"                // for block_call_id, caller_id
 #include "ibis/base/timer_queue.hpp"       // for basic_timer_queue
+#include "ibis/cost/cost_table.hpp"        // for cost_table, request_class
 #include "ibis/policy/latency_window.hpp"  // for latency_window
 #include "ibis/serving/catalog.hpp"        // for catalog_ptr
 #include "ibis/serving/effect.hpp"         // for effects
@@ -117,7 +118,9 @@
   /// When to answer so that the client gets the answer within the route's objective.
   base::time_point objective_deadline{};
   std::vector<task_state> tasks;
-  std::uint64_t key = 0;  ///< See `request_key`.
+  std::uint64_t key = 0;           ///< See `request_key`.
+  cost::request_class cost_class;  ///< Empty unless leafs are chosen by cost.
+  base::duration expected{0};      ///< What a leaf needs for a task; 0 if unknown.
   /// Typical latency of the route's leaf answers when the request arrived.
   base::duration typical_latency{0};
   base::duration hedge_delay{0};  ///< After which an unanswered task is late.
@@ -255,6 +258,9 @@
   std::uint64_t leaf_backoffs = 0;
   std::uint64_t leaf_retry_after_bounded = 0;  ///< Times that were too long.
   std::uint64_t leaf_retry_after_ignored = 0;  ///< Values that state no time.
+  std::uint64_t leaf_loads_ignored = 0;        ///< Load reports with invalid values.
+  std::uint64_t hedges_postponed = 0;  ///< Since the attempt is expected to end soon.
+  std::uint64_t costs_exceeded = 0;    ///< Answers far later than expected.
   std::uint64_t store_calls = 0;
   std::uint64_t store_failures = 0;
   std::uint64_t watch_checks = 0;  ///< Watches that were behind the store's revision.
@@ -286,6 +292,8 @@
   std::unordered_map<base::connection_id, connection_state> connections;
   std::unordered_map<base::caller_id, pending_request> pending_requests;
   std::unordered_map<std::string, route_statistics> statistics;  ///< By route name.
+  cost::cost_table costs;
+  base::time_point next_cost_log_at{};  ///< See `log_exceeded_cost`.
   std::array<topic_state, store_topic_count> topics;
   base::time_point store_unavailable_since{};
   base::time_point store_recovered_at{};  ///< Unset if it was never unavailable.
--- a/scripts/check-wire-names.sh
+++ b/scripts/check-wire-names.sh
@@ -9,6 +9,7 @@
 names+='|maxConcurrency|warmupLeftMs|storeRevision|allowStale|createRev|maxHeaderBytes|maxBodyBytes'
 names+='|Server-Leaving|headerTimeoutMs|idleTimeoutMs|/v1/readiness'
 names+='|IBISWHEEL_CONFIG|instanceId|drainMs|graceS|stabilityWindowMs|outerMs|retryWindowS|waitMs'
+names+='|X-Server-Load'
 names+='|nodeName|listenAddrs|internalPortRange|faultTolerance|retryBudgetRatio|configApplyMs'
 matches=$(git ls-files --cached --others --exclude-standard '*.cpp' '*.hpp' '*.sh' '*.yaml' '*.fbs' |
   grep -vE '^(platform|deploy)/|^scripts/check-wire-names.sh$' | xargs grep -nwE "$names" || true)
--- a/src/ibis/cost/load_report.cpp
+++ b/src/ibis/cost/load_report.cpp
@@ -30,14 +30,17 @@
   return std::exp2(-base::to_ms(age) / base::to_ms(report_half_life));
 }
 
+double told_pace(const load_report& report) {
+  return std::clamp(report.pace.value_or(1.0), min_pace, max_pace);
+}
+
 double current_pace(const received_report& received, double usual,
                     base::time_point now) {
   if (!received.report.pace) {
     return usual;
   }
   const double weight = report_weight(received, now);
-  const double told = std::clamp(*received.report.pace, min_pace, max_pace);
-  return usual + weight * (told - usual);
+  return usual + weight * (told_pace(received.report) - usual);
 }
 
 double current_others(const received_report& received, std::uint32_t slots,
--- a/src/ibis/reactor/node_metrics.cpp
+++ b/src/ibis/reactor/node_metrics.cpp
@@ -2,9 +2,12 @@
 
 #include <sys/resource.h>  // for getrusage
 
-#include <algorithm>  // for count_if
+#include <algorithm>  // for count_if, min, sort
 #include <array>      // for array
+#include <cmath>      // for sqrt
 #include <sstream>    // for ostringstream
+#include <tuple>      // for tie
+#include <vector>     // for vector
 
 #include "ibis/serving/leaf_backoff.hpp"  // for backs_off
 
@@ -98,6 +101,44 @@
   write_gauge(out, "leafs_backing_off", backing_off);
 }
 
+/// Writes what requests were expected to need and what they took, for the classes with
+/// the most answers. Classes of accounts are left out.
+void write_costs(std::ostringstream& out, const cost::cost_table& costs) {
+  constexpr std::size_t max_classes = 64;
+  std::vector<const cost::cost_class*> classes;
+  for (const auto& [id, known] : costs.classes()) {
+    if (known.key.account.empty() && known.weight > 0) {
+      classes.push_back(&known);
+    }
+  }
+  std::sort(
+      classes.begin(), classes.end(),
+      [](const cost::cost_class* first, const cost::cost_class* second) {
+        return std::tie(second->answers, first->key.route, first->key.size_bucket) <
+               std::tie(first->answers, second->key.route, second->key.size_bucket);
+      });
+  classes.resize(std::min(classes.size(), max_classes));
+  const auto write = [&](const char* name, const char* type, const auto& value_of) {
+    if (!classes.empty()) {
+      out << "# TYPE ibis_request_cost_" << name << ' ' << type << '\n';
+    }
+    for (const cost::cost_class* known : classes) {
+      out << "ibis_request_cost_" << name << "{route=\""
+          << escape_label(known->key.route) << "\",size=\""
+          << static_cast<unsigned>(known->key.size_bucket) << "\"} " << value_of(*known)
+          << '\n';
+    }
+  };
+  write("mean_ms", "gauge", [](const auto& known) { return known.mean_ms; });
+  write("spread_ms", "gauge",
+        [](const auto& known) { return std::sqrt(known.variance); });
+  write("expected_ms_total", "counter",
+        [](const auto& known) { return known.expected_ms_sum; });
+  write("actual_ms_total", "counter",
+        [](const auto& known) { return known.actual_ms_sum; });
+  write("answers_total", "counter", [](const auto& known) { return known.answers; });
+}
+
 void write_counters(std::ostringstream& out, const serving::node_counters& count) {
   write_counter(out, "requests", count.requests);
   write_counter(out, "leaf_sends", count.sends);
@@ -109,6 +150,9 @@
   write_counter(out, "leaf_backoffs", count.leaf_backoffs);
   write_counter(out, "leaf_retry_after_bounded", count.leaf_retry_after_bounded);
   write_counter(out, "leaf_retry_after_ignored", count.leaf_retry_after_ignored);
+  write_counter(out, "leaf_loads_ignored", count.leaf_loads_ignored);
+  write_counter(out, "leaf_hedges_postponed", count.hedges_postponed);
+  write_counter(out, "request_costs_exceeded", count.costs_exceeded);
   write_counter(out, "leaf_address_reuses", count.instance_mismatches);
   write_counter(out, "leaf_connections_opened", count.connections_opened);
   write_counter(out, "leaf_connections_failed", count.connections_failed);
@@ -173,6 +217,8 @@
   write_view_ages(out, node, now);
   write_gauge(out, "shard_blocks", static_cast<double>(node.holders.blocks.size()));
   write_gauge(out, "shard_blocks_held", static_cast<double>(count_held_blocks(node)));
+  write_gauge(out, "request_cost_trust", node.costs.trust());
+  write_costs(out, node.costs);
   write_process(out);
   write_turns(out, turns);
   write_latencies(out, metrics);
--- a/src/ibis/reactor/process_settings.cpp
+++ b/src/ibis/reactor/process_settings.cpp
@@ -96,6 +96,12 @@
   hedge.report_unknown_keys();
 }
 
+void read_leaf_choice(config::reader& root, serving::node_settings& value) {
+  config::reader choice = root.child("leaf_choice");
+  choice.read("by_cost", value.leafs.by_cost);
+  choice.report_unknown_keys();
+}
+
 void read_log(config::reader& root, process_settings& value) {
   config::reader log = root.child("log");
   log.read("requests", value.log.log_requests);
@@ -119,6 +125,7 @@
   read_budget(root, value.serving);
   read_stop(root, value.serving);
   read_hedging(root, value.serving);
+  read_leaf_choice(root, value.serving);
   read_peers(root, value.serving);
   read_propagation(root, value.serving);
   read_holders(root, value.serving);
--- a/src/ibis/reactor/process_settings_test.cpp
+++ b/src/ibis/reactor/process_settings_test.cpp
@@ -16,6 +16,7 @@
   readiness: "10.0.0.1:8108"
   metrics: "10.0.0.1:7380"
   peers: "10.0.0.1:7381"
+leaf_choice: {by_cost: true}
 extra_requests:
   ratio: 0.2
   slack: 52
@@ -80,6 +81,8 @@
   CHECK(parsed.value.serving.holders.min_own_connections == 6);
   CHECK(parsed.value.serving.holders.block_shards == 20);
   CHECK(parsed.value.serving.holders.per_zone == 3);
+  CHECK(parsed.value.serving.leafs.by_cost);
+  CHECK_FALSE(serving::node_settings().leafs.by_cost);
   CHECK(parsed.value.serving.first_start);
   CHECK(parsed.value.serving.store.probe_period == base::milliseconds(1000));
   CHECK_FALSE(parsed.value.log.log_requests);
@@ -96,6 +99,10 @@
   std::string short_limit = valid_settings;
   short_limit.replace(short_limit.find("leafs_ms: 3000"), 14, "leafs_ms: 2000");
   CHECK(count_errors(short_limit) == 1);
+  CHECK(count_errors(valid_settings + "hedging: {by_cost: true}\n") == 1);
+  std::string odd_choice = valid_settings;
+  odd_choice.replace(odd_choice.find("by_cost: true"), 13, "by_cost: 7");
+  CHECK(count_errors(odd_choice) == 1);
   CHECK(count_errors("[1, 2]") >= 1);
   CHECK(count_errors("") >= 1);
 }
--- a/src/ibis/serving/attempt.cpp
+++ b/src/ibis/serving/attempt.cpp
@@ -72,8 +72,12 @@
   const bool late = ctx.now >= pending.objective_deadline;
   const base::time_point useful_until =
       late ? pending.effective_deadline : pending.objective_deadline;
-  return {pending.key, pending.route->max_leafs, is_hedge, pending.typical_latency,
-          useful_until - ctx.now};
+  return {pending.key,
+          pending.route->max_leafs,
+          is_hedge,
+          pending.typical_latency,
+          useful_until - ctx.now,
+          pending.expected};
 }
 
 void send(pending_request& pending, std::size_t shard, base::connection_id id,
@@ -84,7 +88,7 @@
       pending.effective_deadline + ctx.node.settings.leafs.late_answer_grace;
   mark_busy(id,
             {pending.caller, shard, pending.key, late_answer_limit,
-             pending.typical_latency, late_after},
+             pending.typical_latency, late_after, pending.cost_class, pending.expected},
             ctx);
   const connection_state& connection = ctx.node.connections.at(id);
   const leaf_state& leaf = *connection.leaf;
--- a/src/ibis/serving/connections.cpp
+++ b/src/ibis/serving/connections.cpp
@@ -5,6 +5,7 @@
 #include <utility>    // for move
 
 #include "ibis/serving/connection_quota.hpp"  // for connection_quota_of
+#include "ibis/serving/request_cost.hpp"      // for make_running, note_free_slot
 
 namespace ibis::serving {
 namespace {
@@ -21,13 +22,14 @@
   }
 }
 
-void remove_running(leaf_state& leaf, base::connection_id id) {
+void remove_running(leaf_state& leaf, base::connection_id id, base::time_point now) {
   const auto found = std::find_if(
       leaf.running.begin(), leaf.running.end(),
       [id](const running_request& value) { return value.connection == id; });
   if (found != leaf.running.end()) {
     leaf.running.erase(found);
   }
+  note_free_slot(leaf, now);
 }
 
 /// Whether the leaf is about to close an idle connection.
@@ -211,7 +213,8 @@
     return request.expires <= ctx.now;
   });
   connection.carried.push_back({use.key, use.send_until});
-  leaf.running.push_back({id, ctx.now, use.late_after});
+  leaf.running.push_back(
+      make_running(leaf, id, use.late_after, {use.cost_class, use.expected}, ctx.now));
 }
 
 void mark_idle(base::connection_id id, context& ctx) {
@@ -222,7 +225,7 @@
     ++leaf.open;
     connection.opened_at = ctx.now;
   }
-  remove_running(leaf, id);
+  remove_running(leaf, id, ctx.now);
   connection.phase = connection_phase::idle;
   connection.caller = {};
   connection.since = ctx.now;
@@ -245,7 +248,7 @@
     --leaf.open;
   }
   remove_idle(leaf, id);
-  remove_running(leaf, id);
+  remove_running(leaf, id, ctx.now);
   return connection;
 }
 
--- a/src/ibis/serving/leaf_choice.cpp
+++ b/src/ibis/serving/leaf_choice.cpp
@@ -6,6 +6,7 @@
 #include "ibis/serving/concurrency_limit.hpp"  // for has_capacity
 #include "ibis/serving/connections.hpp"   // for find_idle, can_send_now, may_send_later
 #include "ibis/serving/leaf_backoff.hpp"  // for backs_off, is_probed
+#include "ibis/serving/request_cost.hpp"  // for load_cost
 
 namespace ibis::serving {
 namespace {
@@ -54,7 +55,11 @@
                const leaf_requirements& requirements, context& ctx) {
   const bool same_zone =
       leaf.record.availability_zone == ctx.node.settings.availability_zone;
-  double cost = expected_cost(leaf, same_zone, ctx.now, ctx.node.settings.leafs);
+  const leaf_settings& settings = ctx.node.settings.leafs;
+  double cost = settings.by_cost
+                    ? expected_cost(leaf, load_cost(leaf, requirements.expected, ctx),
+                                    same_zone, ctx.now, settings)
+                    : expected_cost(leaf, same_zone, ctx.now, settings);
   cost += was_tried(task, leaf) ? repeat_cost : 0.0;
   cost += find_idle(ctx.node, leaf, requirements.key) ? 0.0 : new_connection_cost;
   cost += opening_cost * static_cast<double>(leaf.opening);
--- a/src/ibis/serving/leaf_events.cpp
+++ b/src/ibis/serving/leaf_events.cpp
@@ -10,6 +10,7 @@
 #include "ibis/serving/merge.hpp"         // for merge_records
 #include "ibis/serving/registry.hpp"      // for mark_leaving
 #include "ibis/serving/request_completion.hpp"  // for forward_leaf_answer
+#include "ibis/serving/request_cost.hpp"        // for note_cost, note_load
 #include "ibis/serving/waiting_tasks.hpp"       // for dispatch_waiting_tasks
 
 namespace ibis::serving {
@@ -262,6 +263,8 @@
   if (event.answer->leaf_leaving) {
     mark_leaving(connection.leaf, ctx);
   }
+  note_load(*connection.leaf, event.connection, *event.answer, ctx);
+  note_cost(*connection.leaf, event.connection, *event.answer, ctx);
   const bool keep = event.reusable && takes_new_work(*connection.leaf);
   if (keep) {
     mark_idle(event.connection, ctx);
--- a/src/ibis/serving/leaf_state.cpp
+++ b/src/ibis/serving/leaf_state.cpp
@@ -88,7 +88,13 @@
                      const leaf_settings& settings) {
   const double slots = std::max(1U, leaf.record.slots);
   const double queue = queue_cost * static_cast<double>(leaf.running.size()) / slots;
-  double cost = current_slowness(leaf, now, settings) * (1.0 + queue);
+  return expected_cost(leaf, current_slowness(leaf, now, settings) * (1.0 + queue),
+                       same_zone, now, settings);
+}
+
+double expected_cost(const leaf_state& leaf, double load_cost, bool same_zone,
+                     base::time_point now, const leaf_settings& settings) {
+  double cost = load_cost;
   cost += failure_cost * current_failure_rate(leaf, now, settings);
   cost += same_zone ? 0.0 : other_zone_cost;
   cost += is_suspect(leaf, now) ? suspect_cost : 0.0;
--- a/src/ibis/serving/pending_request.cpp
+++ b/src/ibis/serving/pending_request.cpp
@@ -9,6 +9,7 @@
 #include "ibis/serving/leaf_choice.hpp"         // for choose_leaf
 #include "ibis/serving/leaf_events.hpp"         // for on_connection_timer
 #include "ibis/serving/request_completion.hpp"  // for refuse_request, reject_request
+#include "ibis/serving/request_cost.hpp"        // for set_expected_cost
 #include "ibis/serving/shard_requests.hpp"      // for ask_holders
 #include "ibis/serving/waiting_tasks.hpp"       // for on_leaf_capacity
 
@@ -146,6 +147,12 @@
                   due.subject, shard);
     return;
   }
+  if (unanswered && postpones_hedge(*pending, task, *choice.leaf, ctx)) {
+    ++ctx.node.count.hedges_postponed;
+    ctx.add_timer(ctx.now + ctx.node.settings.hedge.recheck, timer_kind::hedge,
+                  due.subject, shard);
+    return;
+  }
   extra_budget& budget = ctx.node.services[task.service].budget;
   if (task.sent > 0 &&
       !budget.try_spend(ctx.now, service_budget(ctx.node, task.service, ctx.now))) {
@@ -200,6 +207,7 @@
 void start_request(pending_request&& pending, context& ctx) {
   set_latency_expectations(pending, ctx);
   pending.key = request_key(pending.request->id);
+  set_expected_cost(pending, ctx);
   pending.tasks = make_tasks(pending, ctx);
   const base::caller_id caller = pending.caller;
   const auto inserted = ctx.node.pending_requests.emplace(caller, std::move(pending));
