Serving: no hedge waits for a request that a paused leaf may hold

With pauses of 200 ms the cheap route's p99 rose from 35.1 to 41.3 ms, since hedges waited for paused leafs. A request that has taken longer than 95% of its class is overdue now: no hedge waits for it, and it counts with its age.

--- a/include/ibis/cost/cost_table.hpp
+++ b/include/ibis/cost/cost_table.hpp
@@ -113,6 +113,9 @@
   [[nodiscard]] std::optional<base::duration> residual(const request_class& id,
                                                        base::duration age,
                                                        base::time_point now) const;
+  /// Whether almost no request of its class took as long: the leaf may be paused.
+  [[nodiscard]] bool is_overdue(const request_class& id, base::duration age,
+                                base::time_point now) const;
   /// @return The mean over all classes, by their shares of the samples; 0 if there is
   /// none.
   [[nodiscard]] base::duration typical() const;
--- a/src/ibis/cost/cost_table.cpp
+++ b/src/ibis/cost/cost_table.cpp
@@ -27,10 +27,13 @@
 /// whose times vary exponentially has an error of 0.6 in the mean.
 constexpr double max_bias = 1.1;
 constexpr double bias_weight = 0.125;
+/// A request is overdue if a smaller share of the samples took longer. It is above the
+/// share of the samples that leafs' pauses prolong.
+constexpr double overdue_share = 0.05;
 /// Bounds of what a request that has taken longer than all before it still needs, as
 /// multiples of its class's mean. The leaf may be paused, and longer pauses last
 /// longer.
-constexpr double min_overdue = 0.5;
+constexpr double min_overdue = 1.0;
 constexpr double max_overdue = 4.0;
 
 base::duration from_ms(double value) {
@@ -90,6 +93,24 @@
                     max_log_error);
 }
 
+/// The samples of a class that took longer than an age.
+struct tail {
+  double share = 0;
+  double remaining_ms = 0;  ///< Mean time after the age, multiplied by the share.
+};
+
+tail tail_after(const cost_class& known, double age_ms) {
+  tail found;
+  for (std::size_t i = 0; i < known.shares.size(); ++i) {
+    const double time = middle_of(i);
+    if (time > age_ms) {
+      found.share += known.shares.at(i);
+      found.remaining_ms += known.shares.at(i) * (time - age_ms);
+    }
+  }
+  return found;
+}
+
 void add_errors(prediction_errors& errors, double by_class, double by_typical,
                 double max_samples) {
   errors.samples = std::min(errors.samples + 1.0, max_samples);
@@ -160,21 +181,18 @@
   if (age_ms == 0) {
     return from_ms(known->mean_ms);
   }
-  double share = 0;
-  double remaining = 0;
-  for (std::size_t i = 0; i < known->shares.size(); ++i) {
-    const double time = middle_of(i);
-    if (time > age_ms) {
-      share += known->shares.at(i);
-      remaining += known->shares.at(i) * (time - age_ms);
-    }
+  const tail later = tail_after(*known, age_ms);
+  if (later.share >= overdue_share) {
+    return from_ms(later.remaining_ms / later.share);
   }
-  constexpr double negligible = 0.01;
-  if (share >= negligible) {
-    return from_ms(remaining / share);
-  }
-  return from_ms(std::clamp(age_ms / 2, min_overdue * known->mean_ms,
-                            max_overdue * known->mean_ms));
+  return from_ms(
+      std::clamp(age_ms, min_overdue * known->mean_ms, max_overdue * known->mean_ms));
+}
+
+bool cost_table::is_overdue(const request_class& id, base::duration age,
+                            base::time_point now) const {
+  const cost_class* known = choose_class(id, now);
+  return known != nullptr && tail_after(*known, base::to_ms(age)).share < overdue_share;
 }
 
 base::duration cost_table::typical() const {
--- a/src/ibis/serving/request_cost.cpp
+++ b/src/ibis/serving/request_cost.cpp
@@ -1,6 +1,6 @@
 #include "ibis/serving/request_cost.hpp"
 
-#include <algorithm>  // for count_if, find_if, max
+#include <algorithm>  // for any_of, count_if, find_if, max
 #include <optional>   // for optional
 #include <vector>     // for vector
 
@@ -107,18 +107,40 @@
   return {slots, expected_pace(leaf, ctx), others};
 }
 
+base::duration work_age(const running_request& request, base::time_point now) {
+  return request.started_at ? now - *request.started_at : base::duration{0};
+}
+
 std::vector<cost::request_in_flight> requests_at(const leaf_state& leaf,
                                                  base::time_point now) {
   std::vector<cost::request_in_flight> requests;
   requests.reserve(leaf.running.size());
   for (const running_request& request : leaf.running) {
-    const base::duration age =
-        request.started_at ? now - *request.started_at : base::duration{0};
-    requests.push_back({request.cost_class, age});
+    requests.push_back({request.cost_class, work_age(request, now)});
   }
   return requests;
 }
 
+/// Whether the leaf works on a request for longer than is usual: it may be paused.
+bool has_overdue(const leaf_state& leaf, const context& ctx) {
+  return std::any_of(leaf.running.begin(), leaf.running.end(),
+                     [&ctx](const running_request& request) {
+                       return ctx.node.costs.is_overdue(
+                           request.cost_class, work_age(request, ctx.now), ctx.now);
+                     });
+}
+
+/// @return The expected time until a leaf answers a request that it has.
+double remaining_ms(const leaf_state& leaf, const running_request& request,
+                    const context& ctx) {
+  if (!request.started_at) {
+    return base::to_ms(request.expected) * load_cost(leaf, request.expected, ctx);
+  }
+  const auto residual =
+      ctx.node.costs.residual(request.cost_class, work_age(request, ctx.now), ctx.now);
+  return base::to_ms(residual.value_or(request.expected)) * expected_pace(leaf, ctx);
+}
+
 }  // namespace
 
 void set_expected_cost(pending_request& pending, context& ctx) {
@@ -216,17 +238,13 @@
   if (request == nullptr || ctx.now - request->sent_at >= 2 * pending.hedge_delay) {
     return false;
   }
-  const base::duration age =
-      request->started_at ? ctx.now - *request->started_at : base::duration{0};
-  const auto residual = ctx.node.costs.residual(request->cost_class, age, ctx.now);
-  if (!residual) {
+  if (ctx.node.costs.trust() == 0 || has_overdue(*connection.leaf, ctx)) {
     return false;
   }
-  const double remaining =
-      base::to_ms(*residual) * expected_pace(*connection.leaf, ctx);
+  const double remaining = remaining_ms(*connection.leaf, *request, ctx);
   const double needed =
       base::to_ms(pending.expected) * load_cost(other, pending.expected, ctx);
-  return ctx.node.costs.trust() > 0 && remaining < needed;
+  return remaining < needed;
 }
 
 }  // namespace ibis::serving
--- a/standins/serving_fleet.cpp
+++ b/standins/serving_fleet.cpp
@@ -1,6 +1,7 @@
 #include "serving_fleet.hpp"
 
-#include <utility>  // for move
+#include <algorithm>  // for max, min_element
+#include <utility>    // for move
 
 namespace ibis::standins {
 namespace {
@@ -14,6 +15,17 @@
 constexpr unsigned status_refused = 503;
 constexpr unsigned status_misdirected = 421;
 
+/// @return What a leaf reports with an answer that it sends at a time.
+cost::load_report report_load(const fleet_leaf& leaf, base::time_point at) {
+  std::uint32_t running = 0;
+  std::uint32_t waiting = 0;
+  for (const auto& [begin, end] : leaf.schedule) {
+    running += begin <= at && at < end ? 1 : 0;
+    waiting += begin > at ? 1 : 0;
+  }
+  return {running, waiting, leaf.record.slots, leaf.pace};
+}
+
 }  // namespace
 
 serving_fleet::serving_fleet(std::uint64_t seed, const serving::node_settings& settings)
@@ -252,7 +264,8 @@
   base::duration delay = 2 * one_way_delay;
   if (runs) {
     const base::time_point starts_at = std::max(now_, leaf.paused_until);
-    delay += (starts_at - now_) + leaf.service_time(random_);
+    delay += leaf.work ? queue_request(leaf, *effect.request, starts_at)
+                       : (starts_at - now_) + leaf.service_time(random_);
   }
   after(delay, [this, effect, connection, reaction, wrong_instance] {
     const auto found = connections_.find(effect.connection);
@@ -278,6 +291,9 @@
       answer->retry_after = leafs.at(connection.leaf).retry_after;
       note_refusal(connection.leaf, *answer);
     }
+    if (leafs.at(connection.leaf).reports_load) {
+      answer->load = report_load(leafs.at(connection.leaf), now_ - one_way_delay);
+    }
     if (!answer->not_executed) {
       answer->signature = connection.leaf + '/' + effect.request->id;
       answer->body = make_records(answer->signature);
@@ -291,6 +307,24 @@
   });
 }
 
+base::duration serving_fleet::queue_request(fleet_leaf& leaf,
+                                            const serving::inbound_request& request,
+                                            base::time_point starts_at) {
+  const base::time_point arrives = now_ + one_way_delay;
+  leaf.slots_free_at.resize(leaf.record.slots);
+  const auto slot =
+      std::min_element(leaf.slots_free_at.begin(), leaf.slots_free_at.end());
+  const base::time_point begin = std::max({arrives, starts_at, *slot});
+  const base::time_point end = begin + std::chrono::duration_cast<base::duration>(
+                                           leaf.work(request, random_) * leaf.pace);
+  *slot = end;
+  std::erase_if(leaf.schedule, [this](const auto& entry) {
+    return entry.second < now_ - 2 * one_way_delay;
+  });
+  leaf.schedule.emplace_back(begin, end);
+  return end - arrives;
+}
+
 void serving_fleet::note_refusal(const std::string& leaf,
                                  const serving::leaf_answer& answer) {
   if (answer.retry_after) {
--- a/standins/serving_fleet.hpp
+++ b/standins/serving_fleet.hpp
@@ -9,6 +9,7 @@
 #include <random>      // for mt19937_64
 #include <set>         // for set
 #include <string>      // for string
+#include <utility>     // for pair
 #include <vector>      // for vector
 
 #include "ibis/serving/node.hpp"  // for node_state
@@ -30,6 +31,14 @@
   serving::leaf_record record;
   std::function<base::duration(std::mt19937_64&)> service_time;
   std::function<leaf_reaction(std::mt19937_64&)> reaction;
+  /// If set, the leaf has as many slots as its record states, and a queue. Returns the
+  /// time for which a request needs a slot; replaces `service_time`.
+  std::function<base::duration(const serving::inbound_request&, std::mt19937_64&)> work;
+  double pace = 1.0;          ///< Factor of the times of `work`.
+  bool reports_load = false;  ///< It adds its load and pace to its answers.
+  std::vector<base::time_point> slots_free_at;
+  /// When the requests in slots and in the queue start and end.
+  std::vector<std::pair<base::time_point, base::time_point>> schedule;
   bool accepts_connections = true;
   bool says_leaving = false;  ///< It says in its answers that it leaves.
   /// If set, it says when it refuses that it wants nothing for that long.
@@ -158,6 +167,12 @@
   void after(base::duration delay, std::function<void()> action);
   void deliver_event(const serving::event& event);
   void carry_out(const serving::effects& effects);
+  /// Gives a request the next free slot of a leaf.
+  /// @param starts_at When the leaf's pause ends.
+  /// @return How long after its arrival there it is done.
+  base::duration queue_request(fleet_leaf& leaf,
+                               const serving::inbound_request& request,
+                               base::time_point starts_at);
   void note_refusal(const std::string& leaf, const serving::leaf_answer& answer);
   void on_count(const serving::count_nodes& effect);
   void on_open(const serving::open_connection& effect);
