--- a/scripts/check-wire-names.sh
+++ b/scripts/check-wire-names.sh
@@ -9,6 +9,7 @@
 names+='|maxConcurrency|warmupLeftMs|storeRevision|allowStale|createRev|maxHeaderBytes|maxBodyBytes'
 names+='|Server-Leaving|headerTimeoutMs|idleTimeoutMs|/v1/readiness'
 names+='|IBISWHEEL_CONFIG|instanceId|drainMs|graceS|stabilityWindowMs|outerMs|retryWindowS|waitMs'
+names+='|X-Server-Load'
 names+='|nodeName|listenAddrs|internalPortRange|faultTolerance|retryBudgetRatio|configApplyMs'
 names+='|X-Credential|X-Tenant|"tenants"|apiKeys|ratePerS|allowAnonymous|revokeMs|strictRevocation'
 matches=$(git ls-files --cached --others --exclude-standard '*.cpp' '*.hpp' '*.sh' '*.yaml' '*.fbs' |
