Serving: waiting tasks go in the order of admission, and tasks that cannot end in time are given up

Sends are charged to their account. A request to a single leaf is refused at once if the work ahead of it takes longer than its client waits, never while a leaf has room.

--- a/include/ibis/serving/state.hpp
+++ b/include/ibis/serving/state.hpp
@@ -14,15 +14,18 @@
 #include <utility>        // for move, pair
 #include <vector>         // for vector
 
-#include "ibis/base/id.hpp"                // for block_call_id, caller_id
-#include "ibis/base/timer_queue.hpp"       // for basic_timer_queue
-#include "ibis/policy/latency_window.hpp"  // for latency_window
-#include "ibis/serving/catalog.hpp"        // for catalog_ptr
-#include "ibis/serving/effect.hpp"         // for effects
-#include "ibis/serving/extra_budget.hpp"   // for extra_budget
-#include "ibis/serving/holders.hpp"        // for holder_table, holder_health
-#include "ibis/serving/leaf_state.hpp"     // for leaf_state, connection_state
-#include "ibis/serving/settings.hpp"       // for node_settings
+#include "ibis/admission/account_counts.hpp"  // for account_counts
+#include "ibis/admission/account_use.hpp"     // for account_use
+#include "ibis/admission/kind_shares.hpp"     // for kind_shares
+#include "ibis/base/id.hpp"                   // for block_call_id, caller_id
+#include "ibis/base/timer_queue.hpp"          // for basic_timer_queue
+#include "ibis/policy/latency_window.hpp"     // for latency_window
+#include "ibis/serving/catalog.hpp"           // for catalog_ptr
+#include "ibis/serving/effect.hpp"            // for effects
+#include "ibis/serving/extra_budget.hpp"      // for extra_budget
+#include "ibis/serving/holders.hpp"           // for holder_table, holder_health
+#include "ibis/serving/leaf_state.hpp"        // for leaf_state, connection_state
+#include "ibis/serving/settings.hpp"          // for node_settings
 
 namespace ibis::serving {
 
@@ -120,6 +123,7 @@
   std::uint64_t key = 0;  ///< See `request_key`.
   /// Typical latency of the route's leaf answers when the request arrived.
   base::duration typical_latency{0};
+  bool latency_measured = false;  ///< `typical_latency` is more than an assumption.
   base::duration hedge_delay{0};  ///< After which an unanswered task is late.
   std::vector<base::block_call_id> shard_calls;  ///< To holders; some may have ended.
   std::size_t parts = 0;          ///< Number of shards that have answered.
@@ -142,12 +146,15 @@
 struct waiting_task {
   base::caller_id caller;
   std::size_t shard = 0;
+  std::string route;  ///< Name of its request's route.
+  base::time_point since{};
 };
 
 /// A service's leafs, queue and budget of extra requests.
 struct service_state {
   std::vector<leaf_ptr> leafs;
   std::deque<waiting_task> waiting;
+  admission::kind_shares kinds;  ///< Outcomes of its tasks, by route.
   extra_budget budget;
   /// Until when this node counts as a holder, since another node has asked it.
   base::time_point held_until{};
@@ -264,7 +271,9 @@
   std::uint64_t shard_calls = 0;           ///< Requests for shards to holders.
   std::uint64_t shard_calls_repeated = 0;  ///< Of them, after a holder was lost.
   std::uint64_t holders_silent = 0;
-  std::uint64_t shards_served = 0;  ///< Requests for shards from other nodes.
+  std::uint64_t shards_served = 0;   ///< Requests for shards from other nodes.
+  std::uint64_t waits_given_up = 0;  ///< Tasks that waited until it was too late.
+  admission::account_counts refused_for_time;  ///< Requests, by account.
 };
 
 /// Number of nodes assumed until they are counted. It is high, so that a new node
@@ -286,6 +295,7 @@
   std::unordered_map<base::connection_id, connection_state> connections;
   std::unordered_map<base::caller_id, pending_request> pending_requests;
   std::unordered_map<std::string, route_statistics> statistics;  ///< By route name.
+  admission::account_use account_use;  ///< Of leafs, for requests of this node.
   std::array<topic_state, store_topic_count> topics;
   base::time_point store_unavailable_since{};
   base::time_point store_recovered_at{};  ///< Unset if it was never unavailable.
--- a/src/ibis/serving/attempt.cpp
+++ b/src/ibis/serving/attempt.cpp
@@ -32,7 +32,8 @@
 void enqueue_task(pending_request& pending, std::size_t shard, context& ctx) {
   task_state& task = pending.tasks[shard];
   task.waiting = true;
-  ctx.node.services[task.service].waiting.push_back({pending.caller, shard});
+  ctx.node.services[task.service].waiting.push_back(
+      {pending.caller, shard, pending.route->name, ctx.now});
 }
 
 void answer_single_if_ready(pending_request& pending, context& ctx) {
@@ -93,6 +94,10 @@
     task.tried_leafs.push_back(leaf.key);
   }
   task.active_connections.push_back(id);
+  ctx.node.account_use.charge(pending.account, pending.typical_latency, ctx.now);
+  if (task.sent == 0) {
+    ctx.node.services[task.service].kinds.count_started(pending.route->name, ctx.now);
+  }
   ++task.sent;
   ++ctx.node.count.sends;
   const auto remaining = std::chrono::duration_cast<base::milliseconds>(
--- a/src/ibis/serving/pending_request.cpp
+++ b/src/ibis/serving/pending_request.cpp
@@ -10,7 +10,7 @@
 #include "ibis/serving/leaf_events.hpp"         // for on_connection_timer
 #include "ibis/serving/request_completion.hpp"  // for refuse_request, reject_request
 #include "ibis/serving/shard_requests.hpp"      // for ask_holders
-#include "ibis/serving/waiting_tasks.hpp"       // for on_leaf_capacity
+#include "ibis/serving/waiting_tasks.hpp"  // for on_leaf_capacity, refuse_if_out_of_time
 
 namespace ibis::serving {
 namespace {
@@ -43,6 +43,8 @@
   const base::duration late = window.quantile(settings.quantile, latest);
   pending.hedge_delay =
       std::clamp(late, scale(objective, settings.earliest_share), latest);
+  pending.latency_measured =
+      window.quantile(median, base::duration(0)) > base::duration(0);
   pending.typical_latency =
       window.quantile(median, scale(objective, settings.default_latency_share));
 }
@@ -113,6 +115,9 @@
 }
 
 void start_tasks(pending_request& pending, context& ctx) {
+  if (refuse_if_out_of_time(pending, ctx)) {
+    return;
+  }
   for (const std::size_t shard : delegate_tasks(pending, ctx)) {
     task_state& task = pending.tasks[shard];
     if (pending.remote) {
--- a/src/ibis/serving/waiting_tasks.cpp
+++ b/src/ibis/serving/waiting_tasks.cpp
@@ -1,9 +1,17 @@
 #include "ibis/serving/waiting_tasks.hpp"
 
-#include <algorithm>  // for min_element
+#include <algorithm>  // for min
 #include <deque>      // for deque
+#include <utility>    // for move, pair
+#include <vector>     // for vector
 
-#include "ibis/serving/attempt.hpp"  // for dispatch_to, answer_if_ready
+#include "ibis/admission/waiting_order.hpp"     // for next_entry, waiting_entry
+#include "ibis/serving/attempt.hpp"             // for dispatch_to, answer_if_ready
+#include "ibis/serving/concurrency_limit.hpp"   // for has_capacity
+#include "ibis/serving/connection_quota.hpp"    // for connection_quota_of
+#include "ibis/serving/connections.hpp"         // for can_send_now
+#include "ibis/serving/leaf_backoff.hpp"        // for backs_off, is_probed
+#include "ibis/serving/request_completion.hpp"  // for answer_failure
 
 namespace ibis::serving {
 namespace {
@@ -12,9 +20,12 @@
 
 /// Removes tasks that no longer wait because they are done or their request was
 /// answered.
-void remove_settled(waiting_queue& waiting, context& ctx) {
-  std::erase_if(waiting, [&ctx](const waiting_task& entry) {
+void remove_settled(service_state& service, context& ctx) {
+  std::erase_if(service.waiting, [&](const waiting_task& entry) {
     const pending_request* pending = find_pending_request(entry.caller, ctx);
+    if (pending == nullptr) {
+      service.kinds.count_lost(entry.route, ctx.now);
+    }
     return pending == nullptr || pending->tasks[entry.shard].done;
   });
 }
@@ -27,33 +38,122 @@
   return pending.tasks.size() - pending.given_up <= required_shards(*pending.route);
 }
 
-/// Orders critical requests first, then by priority.
-bool has_precedence(const pending_request& first, const pending_request& second) {
-  if (is_critical(first) != is_critical(second)) {
-    return is_critical(first);
+admission::waiting_entry make_entry(const pending_request& pending) {
+  admission::waiting_entry entry;
+  entry.critical = is_critical(pending);
+  entry.priority = pending.priority;
+  entry.account = pending.account;
+  entry.kind = pending.route->name;
+  if (pending.latency_measured) {
+    entry.expected_cost = pending.typical_latency;
+  }
+  entry.request_cost =
+      pending.typical_latency * static_cast<base::duration::rep>(pending.tasks.size());
+  entry.arrived = pending.arrived;
+  entry.deadline = pending.effective_deadline;
+  entry.latest_start = admission::latest_useful_start(
+      entry.critical, pending.typical_latency, pending.objective_deadline,
+      pending.effective_deadline);
+  return entry;
+}
+
+/// @return The waiting tasks in the order of the queue, which has no settled ones.
+std::vector<admission::waiting_entry> make_entries(const waiting_queue& waiting,
+                                                   context& ctx) {
+  std::vector<admission::waiting_entry> entries;
+  entries.reserve(waiting.size());
+  for (const waiting_task& task : waiting) {
+    entries.push_back(make_entry(*find_pending_request(task.caller, ctx)));
+  }
+  return entries;
+}
+
+void give_up_waiting(pending_request& pending, task_state& task, context& ctx) {
+  if (is_pending(task)) {
+    return;
+  }
+  ctx.node.services[task.service].kinds.count_lost(pending.route->name, ctx.now);
+  ++ctx.node.count.waits_given_up;
+  give_up_task(pending, task);
+  answer_if_ready(pending, ctx);
+}
+
+/// Gives up tasks that can no longer end in time. What remains of their requests may
+/// become critical by it, and then waits on.
+void give_up_expired(service_state& service, context& ctx) {
+  std::vector<std::pair<base::caller_id, std::size_t>> expired;
+  for (const waiting_task& entry : service.waiting) {
+    const pending_request& pending = *find_pending_request(entry.caller, ctx);
+    if (!admission::can_end_in_time(make_entry(pending), ctx.now)) {
+      expired.emplace_back(entry.caller, entry.shard);
+    }
+  }
+  for (const auto& [caller, shard] : expired) {
+    pending_request* pending = find_pending_request(caller, ctx);
+    if (pending != nullptr &&
+        !admission::can_end_in_time(make_entry(*pending), ctx.now)) {
+      task_state& task = pending->tasks[shard];
+      task.waiting = false;
+      give_up_waiting(*pending, task, ctx);
+    }
+  }
+  if (!expired.empty()) {
+    remove_settled(service, ctx);
   }
-  return first.priority < second.priority;
 }
 
-/// @return The task to send next: one of a critical request before others, then the
-/// most urgent, then the one that has waited longest.
-waiting_queue::iterator next_waiting(waiting_queue& waiting, context& ctx) {
-  return std::min_element(
-      waiting.begin(), waiting.end(),
-      [&ctx](const waiting_task& first, const waiting_task& second) {
-        return has_precedence(*find_pending_request(first.caller, ctx),
-                              *find_pending_request(second.caller, ctx));
-      });
+bool has_room(const leaf_state& leaf, std::uint64_t key, const context& ctx) {
+  return has_capacity(leaf, ctx.now) && !is_probed(leaf) &&
+         can_send_now(ctx.node, leaf, key, ctx.now);
 }
 
-/// Whether a task's answer can still arrive in time, or is needed even if late.
-bool is_worth_sending(const pending_request& pending, context& ctx) {
-  return is_critical(pending) ||
-         ctx.now + pending.typical_latency < pending.objective_deadline;
+/// @return What the leafs of a service can take from this node, at most.
+admission::service_capacity capacity_of(const std::string& name,
+                                        const service_state& service, std::uint64_t key,
+                                        const context& ctx) {
+  const connection_quota quota = connection_quota_of(ctx.node, name, ctx.now);
+  const auto connections = static_cast<double>(quota.to_leaf);
+  admission::service_capacity capacity;
+  for (const leaf_ptr& leaf : service.leafs) {
+    if (takes_new_work(*leaf) && !backs_off(*leaf, ctx.now)) {
+      capacity.slots += std::min(leaf->concurrency_limit, connections);
+      capacity.has_room = capacity.has_room || has_room(*leaf, key, ctx);
+    }
+  }
+  capacity.slots = std::min(capacity.slots, static_cast<double>(quota.to_service));
+  return capacity;
 }
 
 }  // namespace
 
+bool refuse_if_out_of_time(pending_request& pending, context& ctx) {
+  if (pending.remote || pending.route->shape == route_shape::fan_out) {
+    return false;
+  }
+  const std::string& name = pending.tasks.front().service;
+  const auto found = ctx.node.services.find(name);
+  if (found == ctx.node.services.end() || found->second.waiting.empty()) {
+    return false;
+  }
+  service_state& service = found->second;
+  remove_settled(service, ctx);
+  const admission::service_capacity capacity =
+      capacity_of(name, service, pending.key, ctx);
+  if (!admission::must_be_refused(make_entries(service.waiting, ctx),
+                                  make_entry(pending), capacity,
+                                  {ctx.node.account_use, service.kinds}, ctx.now)) {
+    return false;
+  }
+  ctx.node.count.refused_for_time.add(pending.account);
+  ctx.log("refused_for_time", {{"request", pending.request->id},
+                               {"service", name},
+                               {"account", pending.account},
+                               {"waiting", std::to_string(service.waiting.size())},
+                               {"slots", std::to_string(capacity.slots)}});
+  answer_failure(pending, "no_time", ctx);
+  return true;
+}
+
 void on_leaf_capacity(base::connection_id id, context& ctx) {
   const auto found = ctx.node.connections.find(id);
   if (found != ctx.node.connections.end()) {
@@ -67,27 +167,29 @@
   if (found == ctx.node.services.end()) {
     return;
   }
-  auto& waiting = found->second.waiting;
-  remove_settled(waiting, ctx);
+  service_state& state = found->second;
+  waiting_queue& waiting = state.waiting;
+  remove_settled(state, ctx);
+  give_up_expired(state, ctx);
   while (!waiting.empty()) {
-    const auto first = next_waiting(waiting, ctx);
-    pending_request& pending = *find_pending_request(first->caller, ctx);
-    const std::size_t shard = first->shard;
+    const std::size_t first = *admission::next_entry(
+        make_entries(waiting, ctx), {ctx.node.account_use, state.kinds}, ctx.now);
+    pending_request& pending = *find_pending_request(waiting[first].caller, ctx);
+    const std::size_t shard = waiting[first].shard;
     task_state& task = pending.tasks[shard];
     const leaf_choice choice =
         choose_leaf(task, requirements_of(pending, false, ctx), ctx);
     if (choice.result == selection_result::all_busy) {
       return;
     }
-    waiting.erase(first);
+    waiting.erase(waiting.begin() + static_cast<std::ptrdiff_t>(first));
     task.waiting = false;
-    if (choice.result == selection_result::found && is_worth_sending(pending, ctx)) {
+    if (choice.result == selection_result::found) {
       dispatch_to(pending, shard, choice.leaf, ctx);
-    } else if (!is_pending(task)) {
-      give_up_task(pending, task);
-      answer_if_ready(pending, ctx);
+    } else {
+      give_up_waiting(pending, task, ctx);
     }
-    remove_settled(waiting, ctx);
+    remove_settled(state, ctx);
   }
 }
 
