--- a/src/ibis/reactor/node_metrics.cpp
+++ b/src/ibis/reactor/node_metrics.cpp
@@ -2,11 +2,13 @@
 
 #include <sys/resource.h>  // for getrusage
 
-#include <algorithm>  // for count_if
+#include <algorithm>  // for count_if, max
 #include <array>      // for array
+#include <map>        // for map
 #include <sstream>    // for ostringstream
 
-#include "ibis/serving/leaf_backoff.hpp"  // for backs_off
+#include "ibis/admission/account_counts.hpp"  // for account_counts
+#include "ibis/serving/leaf_backoff.hpp"      // for backs_off
 
 namespace ibis::reactor {
 namespace {
@@ -85,6 +87,37 @@
   write_gauge(out, "longest_turn_processor_ms", turns.lengths().max_ms());
 }
 
+using account_values = std::map<std::string, std::uint64_t, std::less<>>;
+
+void write_by_account(std::ostringstream& out, const std::string& name,
+                      const char* type, const account_values& values) {
+  out << "# TYPE ibis_" << name << ' ' << type << '\n';
+  for (const auto& [account, value] : values) {
+    out << "ibis_" << name << "{account=\"" << escape_label(account) << "\"} " << value
+        << '\n';
+  }
+}
+
+/// Writes the tasks that wait for a leaf, and for how long the first of them waits.
+void write_waiting(std::ostringstream& out, const serving::node_state& node,
+                   base::time_point now) {
+  admission::account_counts waiting;
+  base::duration longest{0};
+  for (const auto& [name, service] : node.services) {
+    for (const serving::waiting_task& task : service.waiting) {
+      const auto found = node.pending_requests.find(task.caller);
+      if (found == node.pending_requests.end() ||
+          !found->second.tasks[task.shard].waiting) {
+        continue;
+      }
+      waiting.add(found->second.account);
+      longest = std::max(longest, now - task.since);
+    }
+  }
+  write_by_account(out, "waiting_tasks", "gauge", waiting.values());
+  write_gauge(out, "longest_wait_ms", base::to_ms(longest));
+}
+
 /// Writes how many leafs have said that they leave, and how many back off.
 void write_leaf_states(std::ostringstream& out, const serving::node_state& node,
                        base::time_point now) {
@@ -123,6 +156,9 @@
   write_counter(out, "holder_requests_repeated", count.shard_calls_repeated);
   write_counter(out, "holders_silent", count.holders_silent);
   write_counter(out, "holder_requests_served", count.shards_served);
+  write_counter(out, "waiting_tasks_given_up", count.waits_given_up);
+  write_by_account(out, "requests_refused_for_time_total", "counter",
+                   count.refused_for_time.values());
 }
 
 void write_process(std::ostringstream& out) {
@@ -164,6 +200,7 @@
               static_cast<double>(node.pending_requests.size()));
   write_gauge(out, "leafs", static_cast<double>(node.leafs.size()));
   write_leaf_states(out, node, now);
+  write_waiting(out, node, now);
   write_gauge(out, "leaf_connections", static_cast<double>(node.connections.size()));
   write_gauge(out, "nodes", static_cast<double>(node.nodes));
   const double version =
--- a/standins/serving_fleet.cpp
+++ b/standins/serving_fleet.cpp
@@ -99,6 +99,11 @@
   return caller;
 }
 
+void serving_fleet::ask_for_shards(const std::string& from,
+                                   const wire::shards_request& request) {
+  deliver_event(serving::shards_requested{from, request, {}});
+}
+
 void serving_fleet::disconnect_caller(base::caller_id caller) {
   deliver_event(serving::caller_disconnected{caller});
 }
--- a/standins/serving_fleet.hpp
+++ b/standins/serving_fleet.hpp
@@ -111,6 +111,8 @@
   /// @param target The path, which selects the route.
   base::caller_id send_request(const std::string& request_id, const std::string& target,
                                std::optional<base::milliseconds> deadline = {});
+  /// Delivers a request for shards from another node. The replies are effects.
+  void ask_for_shards(const std::string& node, const wire::shards_request& request);
   /// Closes the connection of a caller that may still wait for its answer.
   void disconnect_caller(base::caller_id caller);
   /// Changes the settings of the running node.
