--- a/include/ibis/quota/owner.hpp
+++ b/include/ibis/quota/owner.hpp
@@ -42,6 +42,8 @@
   base::time_point ranked_at{};      ///< When it became that, or ceased to be.
   bool released = false;             ///< No other node acts as owner any more.
   base::time_point claim_sent_at{};  ///< Unset if no claim was sent.
+  std::string claim_to;
+  std::size_t claim_redirects = 0;  ///< Of the latest claim.
 };
 
 /// After this time as the first in the ranking, this node is known to all others.
--- a/src/ibis/quota/node.cpp
+++ b/src/ibis/quota/node.cpp
@@ -101,6 +101,14 @@
   to.out.requests.push_back({node, std::move(request)});
 }
 
+void send_claim(const call& to) {
+  to.state.owner.claim_sent_at = to.now;
+  token_request request;
+  request.serial = next_serial(to.node, to.now);
+  request.kind = request_kind::claim;
+  send(to, to.state.owner.claim_to, std::move(request));
+}
+
 /// Asks the second candidate, which was the owner before this node, to stop.
 void claim(const call& to) {
   owner_state& owner = to.state.owner;
@@ -109,11 +117,9 @@
       (sent && to.now - owner.claim_sent_at < claim_interval)) {
     return;
   }
-  owner.claim_sent_at = to.now;
-  token_request request;
-  request.serial = next_serial(to.node, to.now);
-  request.kind = request_kind::claim;
-  send(to, to.state.candidates[1], std::move(request));
+  owner.claim_to = to.state.candidates[1];
+  owner.claim_redirects = 0;
+  send_claim(to);
 }
 
 /// Sets until when a node is asked after all others.
@@ -379,21 +385,32 @@
   }
 }
 
+/// Handles that another node than the asked one was the owner before, or still is.
+void follow_claim_redirect(const call& to, const std::string& from,
+                           const std::string& owner) {
+  if (owner == to.node.view.self || !to.node.view.others.contains(owner)) {
+    return;
+  }
+  mark_established(to.node.view, owner, false, to.now);
+  rank(to);
+  owner_state& state = to.state.owner;
+  if (state.is_first && state.claim_to == from && owner != from &&
+      state.claim_redirects < max_redirects) {
+    ++state.claim_redirects;
+    state.claim_to = owner;
+    send_claim(to);
+  }
+}
+
 /// Handles the answer to a claim.
 void on_claim_answer(const call& to, const std::string& from,
                      const token_grant& grant) {
   owner_state& owner = to.state.owner;
   if (!grant.released) {
-    // That node ranks another one, or itself, before this node.
-    if (!grant.owner.empty() && grant.owner != to.node.view.self &&
-        to.node.view.others.contains(grant.owner)) {
-      mark_established(to.node.view, grant.owner, false, to.now);
-      rank(to);
-    }
+    follow_claim_redirect(to, from, grant.owner);
     return;
   }
-  if (!owner.is_first || owner.released || to.state.candidates.size() < 2 ||
-      to.state.candidates[1] != from) {
+  if (!owner.is_first || owner.released || owner.claim_to != from) {
     return;
   }
   // The former owner hands its tokens over, and says for how long it was none.
@@ -433,6 +450,22 @@
   to.out.grants.push_back({node, std::move(grant)});
 }
 
+/// @return Who can tell that the account has no other owner than a claimant: the first
+/// of the other candidates. A node that joined recently may not know of the owner, and
+/// names the candidate after itself. Empty if there is none.
+std::string find_former_owner(const call& to, const std::string& claimant, bool full) {
+  const node_view& view = to.node.view;
+  const bool joined_recently =
+      !view.first_start && to.now - view.joined_at < settle_time;
+  const bool certain = full || (view.self_established && !joined_recently);
+  for (const std::string& candidate : to.state.candidates) {
+    if (candidate != claimant && (candidate != view.self || certain)) {
+      return candidate;
+    }
+  }
+  return "";
+}
+
 /// Handles that another node claims the account. This node stops if that one ranks
 /// before it.
 void on_claim(const call& to, const std::string& from, const token_request& request) {
@@ -440,16 +473,17 @@
   const bool full = refill_owner(to);
   const double level = full ? owner.full.level : 0;
   const base::time_point idle_since = full ? to.now : owner.ranked_at;
+  const std::string former = find_former_owner(to, from, full);
   mark_established(to.node.view, from, true, to.now);
   rank(to);
   token_grant grant = make_grant(to, request);
-  grant.released = !owner.is_first;
+  grant.released = !owner.is_first && (former.empty() || former == to.node.view.self);
   if (grant.released) {
     grant.tokens = static_cast<std::uint32_t>(std::max(0.0, std::floor(level)));
     grant.validity =
         std::chrono::duration_cast<base::milliseconds>(to.now - idle_since);
   } else {
-    grant.owner = to.node.view.self;
+    grant.owner = owner.is_first ? to.node.view.self : former;
   }
   reply(to, from, std::move(grant));
 }
@@ -594,11 +628,11 @@
     return;
   }
   const call to{node, request.account, *state, now, out};
+  rank(to);
   if (request.kind == request_kind::claim) {
     on_claim(to, from, request);
     return;
   }
-  rank(to);
   if (request.kind == request_kind::resign) {
     on_resign(to, from, request);
     return;
--- a/src/ibis/quota/view.cpp
+++ b/src/ibis/quota/view.cpp
@@ -93,7 +93,9 @@
 }
 
 bool refresh_self(node_view& view, base::time_point now) {
-  if (view.self_established || view.stopping || !view.counted || now < self_due(view)) {
+  // A node without a record is not known to the others.
+  if (view.self_established || view.stopping || !view.self_on_record ||
+      now < self_due(view)) {
     return false;
   }
   view.self_established = true;
