Serving: accounts' rate limits hold over all nodes

Requests of a limited account start with a token of its owner, or are rejected with a 429. Messages quota_request and quota_grant go between nodes on channel control. The settings' section quota turns it on.

--- a/include/ibis/reactor/peer_link.hpp
+++ b/include/ibis/reactor/peer_link.hpp
@@ -49,6 +49,11 @@
   void send_shards_reply(const serving::reply_shards& effect);
   /// Tells a holder that a request for shards is no longer needed.
   void send_cancel(const serving::cancel_shards& effect);
+  /// Asks a node for tokens of an account. `quota_granted` reports its answer, and
+  /// `quota_undeliverable` that nothing was sent.
+  void send_quota_request(const serving::request_quota& effect);
+  /// Answers a request for tokens, which `quota_requested` reported.
+  void send_quota_grant(const serving::grant_quota& effect);
   /// Closes the connection for requests for shards to a peer; `peer_lost` follows.
   void reset_connection(const serving::reset_holder_connection& effect);
 
@@ -59,6 +64,9 @@
   /// Reports a message about shards.
   /// @return False if the message is about something else.
   bool on_shards_message(const std::string& node, const wire::message& body);
+  /// Reports a message about tokens.
+  /// @return False if the message is about something else.
+  bool on_quota_message(const std::string& node, const wire::message& body);
   void on_undeliverable(const std::string& node, const wire::message& body);
 
   const protocol& protocol_;  // NOLINT(*-avoid-const-or-ref-data-members)
--- a/include/ibis/serving/effect.hpp
+++ b/include/ibis/serving/effect.hpp
@@ -141,6 +141,18 @@
   base::block_call_id call;
 };
 
+/// Asks a node for tokens of an account.
+struct request_quota {
+  peer to;  ///< Without an address, the connection on which the node asked is used.
+  wire::quota_request request;
+};
+
+/// Answers another node's request for tokens.
+struct grant_quota {
+  std::string node;
+  wire::quota_grant grant;
+};
+
 /// Closes the connection to a holder that has stopped responding. `peer_lost` follows.
 struct reset_holder_connection {
   std::string node;
@@ -203,9 +215,9 @@
     std::variant<answer_caller, open_connection, close_connection, send_to_leaf,
                  list_topic, watch_topic, cancel_store_call, query_peer, reply_to_peer,
                  reset_peer_connection, connect_peer, request_shards, reply_shards,
-                 cancel_shards, reset_holder_connection, register_node, count_nodes,
-                 unregister_node, probe_store, stop_accepting, log_line,
-                 record_request_end, finish_process>;
+                 cancel_shards, request_quota, grant_quota, reset_holder_connection,
+                 register_node, count_nodes, unregister_node, probe_store,
+                 stop_accepting, log_line, record_request_end, finish_process>;
 /// Effects, in the order in which to carry them out.
 using effects = std::vector<effect>;
 
--- a/include/ibis/serving/event.hpp
+++ b/include/ibis/serving/event.hpp
@@ -197,6 +197,24 @@
   base::block_call_id call;
 };
 
+/// Another node asks for tokens of an account, or tells who owns it.
+struct quota_requested {
+  std::string node;
+  wire::quota_request request;
+};
+
+/// Another node answered a request for tokens.
+struct quota_granted {
+  std::string node;
+  wire::quota_grant grant;
+};
+
+/// A request for tokens was not sent, since the node cannot be reached.
+struct quota_undeliverable {
+  std::string node;
+  wire::quota_request request;
+};
+
 /// A connection for shard requests to another node ended or could not be opened.
 struct peer_lost {
   std::string node;
@@ -223,14 +241,13 @@
 struct tick {};
 
 /// Any event.
-using event =
-    std::variant<request_arrived, caller_disconnected, connection_opened,
-                 connection_failed, connection_lost, leaf_answered, topic_listed,
-                 topic_changed, store_call_failed, nodes_counted, node_count_failed,
-                 node_record_written, peer_query_received, peer_replied,
-                 shards_requested, shards_replied, shards_cancelled,
-                 shards_undeliverable, peer_lost, settings_changed, store_probed,
-                 stop_requested, tick>;
+using event = std::variant<
+    request_arrived, caller_disconnected, connection_opened, connection_failed,
+    connection_lost, leaf_answered, topic_listed, topic_changed, store_call_failed,
+    nodes_counted, node_count_failed, node_record_written, peer_query_received,
+    peer_replied, shards_requested, shards_replied, shards_cancelled,
+    shards_undeliverable, quota_requested, quota_granted, quota_undeliverable,
+    peer_lost, settings_changed, store_probed, stop_requested, tick>;
 
 /// @return The name of an event's type, for logs.
 const char* event_name(const event& value);
--- a/include/ibis/serving/settings.hpp
+++ b/include/ibis/serving/settings.hpp
@@ -1,9 +1,11 @@
 /// Settings of a node's decisions. Operators can set some of them in the settings file.
 #pragma once
 
-#include <cstddef>  // for size_t
+#include <cstddef>   // for size_t
+#include <optional>  // for optional
 
 #include "ibis/base/time.hpp"             // for milliseconds
+#include "ibis/quota/bound.hpp"           // for bound_settings
 #include "ibis/serving/extra_budget.hpp"  // for extra_budget_settings
 
 namespace ibis::serving {
@@ -155,7 +157,8 @@
   peer_settings peers;
   holder_settings holders;
   stop_settings stop;
-  extra_budget_settings budget;  ///< For all nodes together.
+  std::optional<quota::bound_settings> quota;  ///< Nothing if quotas are off.
+  extra_budget_settings budget;                ///< For all nodes together.
   /// Time that a request and its answer travel between client and node; subtracted from
   /// a route's objective.
   base::milliseconds travel_margin{13};
--- a/include/ibis/serving/state.hpp
+++ b/include/ibis/serving/state.hpp
@@ -17,6 +17,7 @@
 #include "ibis/base/id.hpp"                // for block_call_id, caller_id
 #include "ibis/base/timer_queue.hpp"       // for basic_timer_queue
 #include "ibis/policy/latency_window.hpp"  // for latency_window
+#include "ibis/quota/node.hpp"             // for quota::node_state
 #include "ibis/serving/catalog.hpp"        // for catalog_ptr
 #include "ibis/serving/effect.hpp"         // for effects
 #include "ibis/serving/extra_budget.hpp"   // for extra_budget
@@ -62,6 +63,7 @@
   progress_reply,
   holder_silent,   ///< A holder must have replied. Subject: shard call.
   stop_accepting,  ///< Stops taking new requests during a graceful stop.
+  quota,           ///< Calls the quotas' `on_time`.
   stop_check,      ///< Checks whether a graceful stop is complete.
 };
 
@@ -301,6 +303,10 @@
   std::unordered_map<base::block_call_id, shard_call> shard_calls;
   /// Requests of other nodes, by the node's name and its call.
   std::map<std::pair<std::string, base::block_call_id>, base::caller_id> remote_callers;
+  quota::node_state quota;          ///< Of limited accounts.
+  catalog_ptr quota_configuration;  ///< Whose limits `quota` has.
+  /// Requests that wait for a token of their account.
+  std::unordered_map<base::caller_id, pending_request> quota_waiting;
   node_records_state records;
   stop_state stop;
   base::basic_timer_queue<timer_kind> timers;
--- a/include/ibis/wire/messages.hpp
+++ b/include/ibis/wire/messages.hpp
@@ -280,10 +280,39 @@
   bool operator==(const shards_reply&) const = default;
 };
 
+/// Asks another node for tokens of an account whose rate is limited, or tells it who
+/// owns the account.
+struct quota_request {
+  std::string account;
+  std::uint64_t serial = 0;    ///< Repeated in the grant.
+  std::uint8_t kind = 0;       ///< Kind of request, defined by the sending module.
+  std::uint32_t wanted = 0;    ///< Tokens.
+  std::uint32_t urgent = 0;    ///< Of them, for requests that wait.
+  std::uint32_t returned = 0;  ///< Unused tokens of an earlier grant.
+  std::uint64_t returned_grant = 0;  ///< Serial of that grant.
+  /// Requests that the sender admitted without a grant.
+  std::uint32_t used_locally = 0;
+  std::uint64_t version = 0;  ///< Of the sender's configuration.
+  bool operator==(const quota_request&) const = default;
+};
+
+/// Answers a `quota_request`.
+struct quota_grant {
+  std::string account;
+  std::uint64_t serial = 0;
+  std::uint32_t tokens = 0;
+  base::milliseconds validity{0};     ///< Of the tokens, from when they were asked for.
+  base::milliseconds retry_after{0};  ///< When to ask again, if tokens lack.
+  std::uint64_t version = 0;          ///< Of the sender's configuration.
+  std::string owner;      ///< The node to ask instead; empty if the sender decided.
+  bool released = false;  ///< The sender does not act as the account's owner any more.
+  bool operator==(const quota_grant&) const = default;
+};
+
 /// Any message.
 using message =
     std::variant<hello, block_request, block_reply, block_cancel, probe, probe_ack,
                  probe_request, part_request, part_reply, generation_ack, topic_watch,
-                 topic_news, shards_request, shards_reply>;
+                 topic_news, shards_request, shards_reply, quota_request, quota_grant>;
 
 }  // namespace ibis::wire
--- a/src/ibis/policy/node.cpp
+++ b/src/ibis/policy/node.cpp
@@ -120,6 +120,8 @@
   void operator()(const wire::topic_news& /*unused*/) const {}
   void operator()(const wire::shards_request& /*unused*/) const {}
   void operator()(const wire::shards_reply& /*unused*/) const {}
+  void operator()(const wire::quota_request& /*unused*/) const {}
+  void operator()(const wire::quota_grant& /*unused*/) const {}
   void operator()(const wire::block_request& message) const {
     if (state.role == node_role::relay) {
       on_block_request(state.blocks, node, message, ctx);
--- a/src/ibis/reactor/node_loop.cpp
+++ b/src/ibis/reactor/node_loop.cpp
@@ -266,6 +266,10 @@
     peers_->send_shards_reply(*reply);
   } else if (const auto* cancel = std::get_if<serving::cancel_shards>(&effect)) {
     peers_->send_cancel(*cancel);
+  } else if (const auto* tokens = std::get_if<serving::request_quota>(&effect)) {
+    peers_->send_quota_request(*tokens);
+  } else if (const auto* grant = std::get_if<serving::grant_quota>(&effect)) {
+    peers_->send_quota_grant(*grant);
   } else if (const auto* connect = std::get_if<serving::connect_peer>(&effect)) {
     peers_->connect(*connect);
   } else if (const auto* reset =
--- a/src/ibis/reactor/node_metrics.cpp
+++ b/src/ibis/reactor/node_metrics.cpp
@@ -4,7 +4,10 @@
 
 #include <algorithm>  // for count_if
 #include <array>      // for array
+#include <iterator>   // for next
+#include <map>        // for map
 #include <sstream>    // for ostringstream
+#include <utility>    // for pair
 
 #include "ibis/serving/leaf_backoff.hpp"  // for backs_off
 
@@ -125,6 +128,39 @@
   write_counter(out, "holder_requests_served", count.shards_served);
 }
 
+/// Writes the counters of limited accounts. Accounts beyond a number are left out, so
+/// that the page stays small.
+void write_quotas(std::ostringstream& out, const serving::node_state& node) {
+  using counter = std::uint64_t quota::account_counters::*;
+  constexpr std::size_t max_accounts = 200;
+  constexpr std::array<std::pair<const char*, counter>, 4> counters{{
+      {"quota_admitted", &quota::account_counters::admitted},
+      {"quota_admitted_locally", &quota::account_counters::admitted_locally},
+      {"quota_refused", &quota::account_counters::refused},
+      {"quota_undecided", &quota::account_counters::undecided},
+  }};
+  if (node.quota.accounts.empty()) {
+    return;
+  }
+  std::map<std::string, const quota::account_state*> accounts;
+  double owned = 0;
+  for (const auto& [name, state] : node.quota.accounts) {
+    accounts.emplace(name, &state);
+    owned += state.owner.is_first ? 1 : 0;
+  }
+  if (accounts.size() > max_accounts) {
+    accounts.erase(std::next(accounts.begin(), max_accounts), accounts.end());
+  }
+  write_gauge(out, "quota_accounts_owned", owned);
+  for (const auto& [counter_name, member] : counters) {
+    out << "# TYPE ibis_" << counter_name << "_total counter\n";
+    for (const auto& [name, state] : accounts) {
+      out << "ibis_" << counter_name << "_total{account=\"" << escape_label(name)
+          << "\"} " << state->count.*member << '\n';
+    }
+  }
+}
+
 void write_process(std::ostringstream& out) {
   rusage usage{};
   if (::getrusage(RUSAGE_SELF, &usage) != 0) {
@@ -173,6 +209,7 @@
   write_view_ages(out, node, now);
   write_gauge(out, "shard_blocks", static_cast<double>(node.holders.blocks.size()));
   write_gauge(out, "shard_blocks_held", static_cast<double>(count_held_blocks(node)));
+  write_quotas(out, node);
   write_process(out);
   write_turns(out, turns);
   write_latencies(out, metrics);
--- a/src/ibis/reactor/peer_link.cpp
+++ b/src/ibis/reactor/peer_link.cpp
@@ -70,6 +70,8 @@
     on_event_(make_unreachable_event(node, watch->serial, watch->topic));
   } else if (const auto* request = std::get_if<wire::shards_request>(&body)) {
     on_event_(serving::shards_undeliverable{node, request->call});
+  } else if (const auto* tokens = std::get_if<wire::quota_request>(&body)) {
+    on_event_(serving::quota_undeliverable{node, *tokens});
   }
 }
 
@@ -87,8 +89,19 @@
   return true;
 }
 
+bool peer_link::on_quota_message(const std::string& node, const wire::message& body) {
+  if (const auto* request = std::get_if<wire::quota_request>(&body)) {
+    on_event_(serving::quota_requested{node, *request});
+  } else if (const auto* grant = std::get_if<wire::quota_grant>(&body)) {
+    on_event_(serving::quota_granted{node, *grant});
+  } else {
+    return false;
+  }
+  return true;
+}
+
 void peer_link::on_message(const std::string& node, const wire::message& body) {
-  if (on_shards_message(node, body)) {
+  if (on_shards_message(node, body) || on_quota_message(node, body)) {
     return;
   }
   const auto* watch = std::get_if<wire::topic_watch>(&body);
@@ -167,6 +180,15 @@
   transport_.send(effect.node, wire::channel::data, "", effect.reply);
 }
 
+void peer_link::send_quota_request(const serving::request_quota& effect) {
+  transport_.send(effect.to.node, wire::channel::control, effect.to.address,
+                  effect.request);
+}
+
+void peer_link::send_quota_grant(const serving::grant_quota& effect) {
+  transport_.send(effect.node, wire::channel::control, "", effect.grant);
+}
+
 void peer_link::send_cancel(const serving::cancel_shards& effect) {
   transport_.send(effect.node, wire::channel::data, "",
                   wire::block_cancel{effect.call});
--- a/src/ibis/reactor/process_settings.cpp
+++ b/src/ibis/reactor/process_settings.cpp
@@ -32,6 +32,23 @@
   budget.report_unknown_keys();
 }
 
+/// Reads the bound of requests beyond the accounts' limits. Without the section, no
+/// limits are enforced.
+void read_quota(config::reader& root, serving::node_settings& value) {
+  if (!root.has("quota")) {
+    return;
+  }
+  quota::bound_settings bound;
+  double window_s = base::to_ms(bound.window) / 1000.0;
+  config::reader section = root.child("quota");
+  section.read("window_s", window_s, 0.1, 3600.0);
+  section.read("overage", bound.overage, 0.0, 10.0);
+  section.read("slack", bound.slack, 0.0, max_slack);
+  section.report_unknown_keys();
+  bound.window = milliseconds(static_cast<milliseconds::rep>(window_s * 1000));
+  value.quota = bound;
+}
+
 /// Derives the timing of a shutdown from the platform's grace period. It ends before
 /// the period does, since the process must exit before the platform kills it.
 void read_stop(config::reader& root, serving::node_settings& value) {
@@ -117,6 +134,7 @@
   root.read("first_start", value.serving.first_start);
   read_listen(root, value);
   read_budget(root, value.serving);
+  read_quota(root, value.serving);
   read_stop(root, value.serving);
   read_hedging(root, value.serving);
   read_peers(root, value.serving);
--- a/src/ibis/serving/event.cpp
+++ b/src/ibis/serving/event.cpp
@@ -56,6 +56,15 @@
   const char* operator()(const shards_undeliverable& /*event*/) const {
     return "shards_undeliverable";
   }
+  const char* operator()(const quota_requested& /*event*/) const {
+    return "quota_requested";
+  }
+  const char* operator()(const quota_granted& /*event*/) const {
+    return "quota_granted";
+  }
+  const char* operator()(const quota_undeliverable& /*event*/) const {
+    return "quota_undeliverable";
+  }
   const char* operator()(const peer_lost& /*event*/) const { return "peer_lost"; }
   const char* operator()(const settings_changed& /*event*/) const {
     return "settings_changed";
--- a/src/ibis/serving/node.cpp
+++ b/src/ibis/serving/node.cpp
@@ -4,6 +4,7 @@
 #include <variant>   // for visit
 #include <vector>    // for vector
 
+#include "ibis/serving/account_quota.hpp"       // for on_quota_requested
 #include "ibis/serving/attempt.hpp"             // for find_pending_request
 #include "ibis/serving/connections.hpp"         // for maintain_connections
 #include "ibis/serving/holders.hpp"             // for update_holders
@@ -49,6 +50,7 @@
 
 void finish_stop(context& ctx) {
   ctx.node.stop.finished = true;
+  reject_quota_requests(ctx);
   const std::size_t unfinished = answer_unfinished_requests(ctx);
   ctx.log("stopped", {{"unfinished", std::to_string(unfinished)}}, unfinished > 0);
   ctx.out.emplace_back(finish_process{ctx.node.pending_requests.size()});
@@ -66,6 +68,7 @@
   ctx.add_timer(ctx.now + ctx.node.settings.stop.accept_for,
                 timer_kind::stop_accepting);
   reply_to_waiting_peers(ctx);
+  resign_accounts(ctx);
 }
 
 void on_stop_accepting(context& ctx) {
@@ -80,7 +83,8 @@
   const stop_settings& settings = ctx.node.settings.stop;
   const bool limit_reached = ctx.now - ctx.node.stop.requested_at >= settings.limit;
   const bool linger_over = ctx.now - ctx.node.stop.accept_ended_at >= settings.linger;
-  if ((ctx.node.pending_requests.empty() && linger_over) || limit_reached) {
+  const bool idle = ctx.node.pending_requests.empty() && ctx.node.quota_waiting.empty();
+  if ((idle && linger_over) || limit_reached) {
     finish_stop(ctx);
     return;
   }
@@ -134,6 +138,9 @@
     case timer_kind::holder_silent:
       on_holder_silent({due.subject}, ctx);
       break;
+    case timer_kind::quota:
+      on_quota_due(ctx);
+      break;
     case timer_kind::stop_accepting:
       on_stop_accepting(ctx);
       break;
@@ -188,6 +195,13 @@
   void operator()(const shards_undeliverable& event) const {
     on_shards_undeliverable(event, ctx);
   }
+  void operator()(const quota_requested& event) const {
+    on_quota_requested(event, ctx);
+  }
+  void operator()(const quota_granted& event) const { on_quota_granted(event, ctx); }
+  void operator()(const quota_undeliverable& event) const {
+    on_quota_undeliverable(event, ctx);
+  }
   void operator()(const peer_lost& event) const { on_peer_lost(event.node, ctx); }
   void operator()(const store_probed& event) const { on_store_probed(event, ctx); }
   void operator()(const settings_changed& event) const {
--- a/src/ibis/serving/node_records.cpp
+++ b/src/ibis/serving/node_records.cpp
@@ -4,6 +4,7 @@
 #include <optional>   // for optional
 #include <utility>    // for exchange, move
 
+#include "ibis/serving/account_quota.hpp"     // for update_quota_nodes
 #include "ibis/serving/backoff.hpp"           // for spread_backoff
 #include "ibis/serving/connection_quota.hpp"  // for service_budget
 #include "ibis/serving/holders.hpp"           // for update_holders
@@ -133,6 +134,7 @@
   ctx.node.peers = std::move(all.peers);
   forget_old_failures(ctx);
   log_spent_budgets(ctx);
+  update_quota_nodes(all.self, ctx);
   if (!all.self) {
     ensure_registered(ctx);
   }
--- a/src/ibis/serving/pending_request.cpp
+++ b/src/ibis/serving/pending_request.cpp
@@ -4,6 +4,7 @@
 #include <numeric>    // for iota
 #include <utility>    // for move
 
+#include "ibis/serving/account_quota.hpp"       // for admit_by_quota
 #include "ibis/serving/attempt.hpp"             // for dispatch, answer_if_ready
 #include "ibis/serving/connection_quota.hpp"    // for service_budget
 #include "ibis/serving/leaf_choice.hpp"         // for choose_leaf
@@ -247,12 +248,13 @@
   pending.effective_deadline = ctx.now + timeout;
   pending.objective_deadline =
       ctx.now + answer_time_budget(*matched, event.first_on_connection, ctx);
-  start_request(std::move(pending), ctx);
+  admit_by_quota(std::move(pending), ctx);
 }
 
 void on_caller_disconnected(base::caller_id caller, context& ctx) {
   pending_request* pending = find_pending_request(caller, ctx);
   if (pending == nullptr) {
+    forget_quota_request(caller, ctx);
     return;
   }
   const base::time_point limit = ctx.now + ctx.node.settings.leafs.abandon_delay;
--- a/src/ibis/wire/codec.cpp
+++ b/src/ibis/wire/codec.cpp
@@ -210,6 +210,23 @@
                                   covered, failed, records, leaving_leafs)
                .Union());
   }
+  void operator()(const quota_request& value) const {
+    const auto account = out.CreateString(value.account);
+    finish(fb::body::quota_request,
+           fb::Createquota_request(out, account, value.serial, value.kind, value.wanted,
+                                   value.urgent, value.returned, value.returned_grant,
+                                   value.used_locally, value.version)
+               .Union());
+  }
+  void operator()(const quota_grant& value) const {
+    const auto account = out.CreateString(value.account);
+    const auto owner = out.CreateString(value.owner);
+    finish(fb::body::quota_grant,
+           fb::Createquota_grant(out, account, value.serial, value.tokens,
+                                 value.validity.count(), value.retry_after.count(),
+                                 value.version, owner, value.released)
+               .Union());
+  }
   void operator()(const part_request& value) const {
     const auto names = out.CreateVectorOfStrings(value.names);
     finish(fb::body::part_request, fb::Createpart_request(out, names).Union());
@@ -387,6 +404,33 @@
   return value;
 }
 
+message read(const fb::quota_request& source) {
+  quota_request value;
+  value.account = read_string(source.account());
+  value.serial = source.serial();
+  value.kind = source.kind();
+  value.wanted = source.wanted();
+  value.urgent = source.urgent();
+  value.returned = source.returned();
+  value.returned_grant = source.returned_grant();
+  value.used_locally = source.used_locally();
+  value.version = source.version();
+  return value;
+}
+
+message read(const fb::quota_grant& source) {
+  quota_grant value;
+  value.account = read_string(source.account());
+  value.serial = source.serial();
+  value.tokens = source.tokens();
+  value.validity = base::milliseconds(source.validity_ms());
+  value.retry_after = base::milliseconds(source.retry_after_ms());
+  value.version = source.version();
+  value.owner = read_string(source.owner());
+  value.released = source.released();
+  return value;
+}
+
 message read(const fb::part_reply& source) {
   return part_reply{read_list<part>(source.parts(), [](const auto& item) {
     return part{read_string(item.name()), read_string(item.bytes())};
@@ -440,6 +484,10 @@
       return read(*frame.body_as_shards_request());
     case fb::body::shards_reply:
       return read(*frame.body_as_shards_reply());
+    case fb::body::quota_request:
+      return read(*frame.body_as_quota_request());
+    case fb::body::quota_grant:
+      return read(*frame.body_as_quota_grant());
     case fb::body::NONE:
       break;
   }
