--- a/src/ibis/reactor/process_settings_test.cpp
+++ b/src/ibis/reactor/process_settings_test.cpp
@@ -111,4 +111,19 @@
 }
 
 }  // namespace
+
+// Guards against limits that are enforced in a deployment without bounds for them, and
+// against bounds that are not read.
+TEST_CASE("Quotas are on only if the settings have their section") {
+  const auto parse = [](const std::string& text) {
+    return parse_process_settings(config::parse_document(text, "s.yaml").value());
+  };
+  CHECK_FALSE(parse(valid_settings).value.serving.quota);
+  const auto parsed =
+      parse(valid_settings + "quota:\n  window_s: 2.5\n  overage: 0.2\n  slack: 7\n");
+  CHECK(parsed.errors.empty());
+  REQUIRE(parsed.value.serving.quota);
+  CHECK(*parsed.value.serving.quota ==
+        quota::bound_settings{base::milliseconds(2500), 0.2, 7});
+}
 }  // namespace ibis::reactor
