--- a/include/ibis/serving/settings.hpp
+++ b/include/ibis/serving/settings.hpp
@@ -1,10 +1,12 @@
 /// Settings of a node's decisions. Operators can set some of them in the settings file.
 #pragma once
 
-#include <cstddef>  // for size_t
+#include <cstddef>   // for size_t
+#include <optional>  // for optional
 
 #include "ibis/access/authorize.hpp"      // for access_settings
 #include "ibis/base/time.hpp"             // for milliseconds
+#include "ibis/quota/bound.hpp"           // for bound_settings
 #include "ibis/serving/extra_budget.hpp"  // for extra_budget_settings
 
 namespace ibis::serving {
@@ -160,7 +162,8 @@
   holder_settings holders;
   stop_settings stop;
   access::access_settings access;
-  extra_budget_settings budget;  ///< For all nodes together.
+  std::optional<quota::bound_settings> quota;  ///< Nothing if quotas are off.
+  extra_budget_settings budget;                ///< For all nodes together.
   /// Time that a request and its answer travel between client and node; subtracted from
   /// a route's objective.
   base::milliseconds travel_margin{13};
--- a/scripts/check-wire-names.sh
+++ b/scripts/check-wire-names.sh
@@ -12,6 +12,7 @@
 names+='|X-Server-Load'
 names+='|nodeName|listenAddrs|internalPortRange|faultTolerance|retryBudgetRatio|configApplyMs'
 names+='|X-Credential|X-Tenant|"tenants"|apiKeys|ratePerS|allowAnonymous|revokeMs|strictRevocation'
+names+='|quotaWindowS|quotaOverage|quotaSlack'
 matches=$(git ls-files --cached --others --exclude-standard '*.cpp' '*.hpp' '*.sh' '*.yaml' '*.fbs' |
   grep -vE '^(platform|deploy)/|^scripts/check-wire-names.sh$' | xargs grep -nwE "$names" || true)
 if [ -n "$matches" ]; then
--- a/src/ibis/reactor/node_metrics.cpp
+++ b/src/ibis/reactor/node_metrics.cpp
@@ -5,9 +5,11 @@
 #include <algorithm>  // for count_if, max, min, sort
 #include <array>      // for array
 #include <cmath>      // for sqrt
+#include <iterator>   // for next
 #include <map>        // for map
 #include <sstream>    // for ostringstream
 #include <tuple>      // for tie
+#include <utility>    // for pair
 #include <vector>     // for vector
 
 #include "ibis/admission/account_counts.hpp"  // for account_counts
@@ -220,6 +222,39 @@
   write_counter(out, "account_requests_others", accounts.others());
 }
 
+/// Writes the counters of limited accounts. Accounts beyond a number are left out, so
+/// that the page stays small.
+void write_quotas(std::ostringstream& out, const serving::node_state& node) {
+  using counter = std::uint64_t quota::account_counters::*;
+  constexpr std::size_t max_accounts = 200;
+  constexpr std::array<std::pair<const char*, counter>, 4> counters{{
+      {"quota_admitted", &quota::account_counters::admitted},
+      {"quota_admitted_locally", &quota::account_counters::admitted_locally},
+      {"quota_refused", &quota::account_counters::refused},
+      {"quota_undecided", &quota::account_counters::undecided},
+  }};
+  if (node.quota.accounts.empty()) {
+    return;
+  }
+  std::map<std::string, const quota::account_state*> accounts;
+  double owned = 0;
+  for (const auto& [name, state] : node.quota.accounts) {
+    accounts.emplace(name, &state);
+    owned += state.owner.is_first ? 1 : 0;
+  }
+  if (accounts.size() > max_accounts) {
+    accounts.erase(std::next(accounts.begin(), max_accounts), accounts.end());
+  }
+  write_gauge(out, "quota_accounts_owned", owned);
+  for (const auto& [counter_name, member] : counters) {
+    out << "# TYPE ibis_" << counter_name << "_total counter\n";
+    for (const auto& [name, state] : accounts) {
+      out << "ibis_" << counter_name << "_total{account=\"" << escape_label(name)
+          << "\"} " << state->count.*member << '\n';
+    }
+  }
+}
+
 void write_process(std::ostringstream& out) {
   rusage usage{};
   if (::getrusage(RUSAGE_SELF, &usage) != 0) {
@@ -272,6 +307,7 @@
   write_gauge(out, "shard_blocks_held", static_cast<double>(count_held_blocks(node)));
   write_gauge(out, "request_cost_trust", node.costs.trust());
   write_costs(out, node.costs);
+  write_quotas(out, node);
   write_process(out);
   write_turns(out, turns);
   write_latencies(out, metrics);
