Serving: leafs in evacuated availability zones get no new requests

The store can ask for an evacuation of a zone. Nodes follow evacuations as a third topic, if their settings say so, and mark the leafs in such zones, which takes_new_work reads.

--- a/include/ibis/serving/event.hpp
+++ b/include/ibis/serving/event.hpp
@@ -76,9 +76,9 @@
 };
 
 /// The parts of the store's data that a node follows.
-enum class store_topic : std::uint8_t { configuration, leafs };
+enum class store_topic : std::uint8_t { configuration, leafs, evacuations };
 /// Number of enumerators of `store_topic`.
-inline constexpr std::size_t store_topic_count = 2;
+inline constexpr std::size_t store_topic_count = 3;
 
 /// A leaf's record in the registry was written or removed.
 struct leaf_change {
@@ -86,6 +86,12 @@
   std::optional<leaf_record> record;  ///< Empty if it was removed or cannot be parsed.
 };
 
+/// An availability zone was evacuated, or its evacuation ended.
+struct zone_change {
+  std::string zone;
+  bool evacuated = false;
+};
+
 /// A page of a topic's complete listing.
 struct topic_listed {
   store_topic topic = store_topic::configuration;
@@ -94,6 +100,7 @@
   std::string next_page_after;
   std::vector<leaf_change> leafs;
   catalog_ptr configuration;
+  std::vector<zone_change> zones;
 };
 
 /// Changes after the revision that a watch started from; none if the wait timed out.
@@ -104,8 +111,12 @@
   catalog_ptr configuration;
   /// The store's answer, unparsed, to forward to peers.
   std::shared_ptr<const std::string> text;
+  std::vector<zone_change> zones;
 };
 
+/// Whether there are changes. There are none if the wait of a watch has ended.
+bool has_changes(const topic_changed& update);
+
 /// Why a call to the store failed.
 enum class store_failure : std::uint8_t {
   unreachable,      ///< The connection failed, broke or timed out.
--- a/include/ibis/serving/leaf_events.hpp
+++ b/include/ibis/serving/leaf_events.hpp
@@ -21,6 +21,10 @@
 /// client disconnected.
 void on_connection_timer(const timer& due, context& ctx);
 
+/// Closes the connections to evacuated leafs that are still being established, and
+/// sends the tasks for which they were opened to other leafs.
+void abandon_opening_connections(context& ctx);
+
 /// Gives up a connection that was not established in time.
 void on_connect_deadline(base::connection_id id, context& ctx);
 
--- a/include/ibis/serving/leaf_state.hpp
+++ b/include/ibis/serving/leaf_state.hpp
@@ -38,6 +38,7 @@
   bool instance_mismatch = false;  ///< A different leaf answered at its address.
   /// It has said that it leaves, whatever its record says.
   bool leaving = false;
+  bool evacuated = false;              ///< Its availability zone is evacuated.
   base::time_point backs_off_until{};  ///< See `backs_off`.
   /// It has backed off, and has not answered a request since.
   bool returns_from_backoff = false;
--- a/include/ibis/serving/settings.hpp
+++ b/include/ibis/serving/settings.hpp
@@ -67,6 +67,8 @@
 
 /// Settings for following the store.
 struct store_settings {
+  /// Whether availability zones can be evacuated. Cannot be changed while a node runs.
+  bool follow_evacuations = false;
   base::milliseconds wait{30000};  ///< How long the store may hold a watch.
   base::milliseconds grace{1500};  ///< Added to `wait` for the timeout of a watch.
   base::milliseconds list_timeout{1500};
@@ -77,6 +79,7 @@
   /// Pauses between a change and the next watch, so that a series of changes arrives in
   /// one call.
   base::milliseconds configuration_pause{400};
+  base::milliseconds evacuation_pause{400};
   base::milliseconds leaf_pause{1000};
   base::milliseconds backoff{150};  ///< Doubled after each consecutive failure.
   base::milliseconds backoff_limit{1000};
--- a/include/ibis/serving/state.hpp
+++ b/include/ibis/serving/state.hpp
@@ -9,6 +9,7 @@
 #include <memory>         // for shared_ptr
 #include <optional>       // for optional
 #include <random>         // for minstd_rand
+#include <set>            // for set
 #include <string>         // for string
 #include <unordered_map>  // for unordered_map
 #include <utility>        // for move, pair
@@ -183,6 +184,12 @@
   base::time_point timer_due{};  ///< When its timer fires.
 };
 
+/// The entries of the pages of an incomplete listing.
+struct listed_entries {
+  std::vector<leaf_change> leafs;
+  std::vector<zone_change> zones;
+};
+
 /// How far a node has followed a topic of the store.
 struct topic_state {
   topic_phase phase = topic_phase::listing;
@@ -196,7 +203,7 @@
   base::time_point verified_at{};
   bool paused = false;    ///< It is between two calls, until a timer fires.
   bool checking = false;  ///< The current call checks whether a watch missed changes.
-  std::vector<leaf_change> pages;  ///< Entries of an incomplete listing.
+  listed_entries pages;   ///< Of a listing in progress.
   /// Oldest revision of the pages of an incomplete listing.
   std::optional<std::uint64_t> listing_revision;
   base::time_point listing_started_at{};
@@ -287,6 +294,7 @@
   std::unordered_map<base::caller_id, pending_request> pending_requests;
   std::unordered_map<std::string, route_statistics> statistics;  ///< By route name.
   std::array<topic_state, store_topic_count> topics;
+  std::set<std::string> evacuated_zones;  ///< As the store says.
   base::time_point store_unavailable_since{};
   base::time_point store_recovered_at{};  ///< Unset if it was never unavailable.
   bool store_unavailable = false;
--- a/include/ibis/serving/store_follower.hpp
+++ b/include/ibis/serving/store_follower.hpp
@@ -40,7 +40,8 @@
 /// updates of all topics and the store is not considered unavailable.
 bool depends_on_store(const node_state& node);
 
-/// Whether the node has a configuration and a complete, current list of leafs.
+/// Whether the node has a configuration and complete, current lists of leafs and, where
+/// they are followed, of evacuations.
 bool has_routing_data(const node_state& node);
 
 }  // namespace ibis::serving
--- a/include/ibis/serving/topic_calls.hpp
+++ b/include/ibis/serving/topic_calls.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <string>  // for string
+#include <vector>  // for vector
 
 #include "ibis/base/time.hpp"      // for milliseconds
 #include "ibis/serving/event.hpp"  // for store_topic
@@ -13,6 +14,10 @@
 /// @return A topic's name in logs.
 const char* name_of(store_topic topic);
 
+/// @return The topics that a node with these settings follows. Nothing is sent or asked
+/// about any other.
+std::vector<store_topic> followed_topics(const node_settings& settings);
+
 /// @return The state of a topic.
 topic_state& state_of(store_topic topic, context& ctx);
 
@@ -20,9 +25,10 @@
 /// @param after Key after which the page begins; empty for the first page.
 void start_listing(store_topic topic, const std::string& after, context& ctx);
 
-/// Whether the next listing may be a stale copy. The first listing of leafs may be one,
-/// since it has many pages and the watch from its revision brings what is newer.
-bool may_list_stale_leafs(store_topic topic, const topic_state& state);
+/// Whether the next listing may be a stale copy. The first listing of leafs or of
+/// evacuations may be one, since it costs less and the watch from its revision brings
+/// what is newer.
+bool may_list_stale(store_topic topic, const topic_state& state);
 
 /// Watches a topic from its revision on, at the store or at a peer.
 void start_watch(store_topic topic, context& ctx);
--- a/src/ibis/serving/connections.cpp
+++ b/src/ibis/serving/connections.cpp
@@ -5,6 +5,7 @@
 #include <utility>    // for move
 
 #include "ibis/serving/connection_quota.hpp"  // for connection_quota_of
+#include "ibis/serving/evacuations.hpp"       // for knows_evacuations
 
 namespace ibis::serving {
 namespace {
@@ -266,7 +267,7 @@
   for (const auto& [id, leaf] : ctx.node.leafs) {
     retire_idle(*leaf, ctx);
   }
-  if (is_waiting_for_count(ctx.node, ctx.now)) {
+  if (is_waiting_for_count(ctx.node, ctx.now) || !knows_evacuations(ctx.node)) {
     return;
   }
   std::size_t opened = 0;
--- a/src/ibis/serving/event.cpp
+++ b/src/ibis/serving/event.cpp
@@ -69,6 +69,10 @@
 
 }  // namespace
 
+bool has_changes(const topic_changed& update) {
+  return update.configuration || !update.leafs.empty() || !update.zones.empty();
+}
+
 const char* event_name(const event& value) {
   return std::visit(event_namer{}, value);
 }
--- a/src/ibis/serving/holders.cpp
+++ b/src/ibis/serving/holders.cpp
@@ -25,7 +25,8 @@
   return zones;
 }
 
-/// @return The availability zones with most leafs of the block. One with fewer than
+/// @return The availability zones with most leafs of the block, without those that are
+/// evacuated. One with fewer than
 /// half as many as the first is left out: its holders would connect to other zones.
 std::set<std::string> find_leaf_zones(const node_state& node,
                                       const std::vector<std::string>& shards) {
@@ -37,6 +38,9 @@
       continue;
     }
     for (const leaf_ptr& leaf : found->second.leafs) {
+      if (leaf->evacuated) {
+        continue;
+      }
       most = std::max(most, ++counts[leaf->record.availability_zone]);
     }
   }
--- a/src/ibis/serving/leaf_events.cpp
+++ b/src/ibis/serving/leaf_events.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>  // for find, min
 #include <memory>     // for shared_ptr
+#include <vector>     // for vector
 
 #include "ibis/serving/attempt.hpp"            // for on_attempt_failed, answer_if_ready
 #include "ibis/serving/concurrency_limit.hpp"  // for update_concurrency_limit
@@ -178,9 +179,8 @@
   }
 }
 
-void handle_connect_failure(const connection_state& connection,
-                            const std::string& detail, context& ctx) {
-  back_off(*connection.leaf, detail, ctx);
+/// Retries the task for which a connection was opened that cannot be used.
+void retry_without_connection(const connection_state& connection, context& ctx) {
   if (pending_request* pending = find_pending_request(connection.caller, ctx)) {
     --pending->tasks[connection.shard].opening;
     on_attempt_failed(*pending, connection.shard, ctx);
@@ -188,6 +188,12 @@
   }
 }
 
+void handle_connect_failure(const connection_state& connection,
+                            const std::string& detail, context& ctx) {
+  back_off(*connection.leaf, detail, ctx);
+  retry_without_connection(connection, ctx);
+}
+
 }  // namespace
 
 void on_connection_opened(base::connection_id id, context& ctx) {
@@ -298,6 +304,21 @@
   dispatch_waiting_tasks(connection.leaf->record.service, ctx);
 }
 
+void abandon_opening_connections(context& ctx) {
+  std::vector<base::connection_id> abandoned;
+  for (const auto& [id, connection] : ctx.node.connections) {
+    if (connection.phase == connection_phase::opening && connection.leaf->evacuated) {
+      abandoned.push_back(id);
+    }
+  }
+  for (const base::connection_id id : abandoned) {
+    if (const auto connection = remove_connection(id, ctx)) {
+      ctx.out.emplace_back(close_connection{id});
+      retry_without_connection(*connection, ctx);
+    }
+  }
+}
+
 void on_connect_deadline(base::connection_id id, context& ctx) {
   const auto found = ctx.node.connections.find(id);
   if (found == ctx.node.connections.end() ||
--- a/src/ibis/serving/leaf_state.cpp
+++ b/src/ibis/serving/leaf_state.cpp
@@ -44,8 +44,8 @@
 }
 
 bool takes_new_work(const leaf_state& leaf) {
-  return !leaf.record.draining && !leaf.leaving && !leaf.instance_mismatch &&
-         leaf.registration != leaf_registration::removed;
+  return !leaf.record.draining && !leaf.leaving && !leaf.evacuated &&
+         !leaf.instance_mismatch && leaf.registration != leaf_registration::removed;
 }
 
 double current_slowness(const leaf_state& leaf, base::time_point now,
--- a/src/ibis/serving/node.cpp
+++ b/src/ibis/serving/node.cpp
@@ -6,6 +6,7 @@
 
 #include "ibis/serving/attempt.hpp"             // for find_pending_request
 #include "ibis/serving/connections.hpp"         // for maintain_connections
+#include "ibis/serving/evacuations.hpp"         // for knows_evacuations
 #include "ibis/serving/holders.hpp"             // for update_holders
 #include "ibis/serving/leaf_events.hpp"         // for on_leaf_answered
 #include "ibis/serving/node_records.hpp"        // for on_nodes_counted
@@ -93,6 +94,17 @@
   cancel_requests_of(name, ctx);
 }
 
+/// Replaces the settings. Which topics are followed stays the same until a restart.
+void change_settings(const node_settings& settings, context& ctx) {
+  const bool follow_evacuations = ctx.node.settings.store.follow_evacuations;
+  ctx.node.settings = settings;
+  ctx.node.settings.store.follow_evacuations = follow_evacuations;
+  if (settings.store.follow_evacuations != follow_evacuations) {
+    ctx.log("evacuations_need_restart",
+            {{"followed", follow_evacuations ? "true" : "false"}}, true);
+  }
+}
+
 void on_maintenance(context& ctx) {
   if (ctx.node.holders_outdated) {
     ctx.node.holders_outdated = false;
@@ -191,7 +203,7 @@
   void operator()(const peer_lost& event) const { on_peer_lost(event.node, ctx); }
   void operator()(const store_probed& event) const { on_store_probed(event, ctx); }
   void operator()(const settings_changed& event) const {
-    ctx.node.settings = event.settings;
+    change_settings(event.settings, ctx);
   }
   void operator()(const stop_requested& /*event*/) const { on_stop_requested(ctx); }
   void operator()(const tick& /*event*/) const {
@@ -256,6 +268,9 @@
   if (!node.configuration) {
     return {false, "no configuration"};
   }
+  if (!knows_evacuations(node)) {
+    return {false, "no evacuations listed"};
+  }
   if (!has_routing_data(node)) {
     return {false, "no leafs listed"};
   }
--- a/src/ibis/serving/pending_request.cpp
+++ b/src/ibis/serving/pending_request.cpp
@@ -6,6 +6,7 @@
 
 #include "ibis/serving/attempt.hpp"             // for dispatch, answer_if_ready
 #include "ibis/serving/connection_quota.hpp"    // for service_budget
+#include "ibis/serving/evacuations.hpp"         // for knows_evacuations
 #include "ibis/serving/leaf_choice.hpp"         // for choose_leaf
 #include "ibis/serving/leaf_events.hpp"         // for on_connection_timer
 #include "ibis/serving/request_completion.hpp"  // for refuse_request, reject_request
@@ -218,6 +219,10 @@
                    ctx);
     return;
   }
+  if (!knows_evacuations(ctx.node)) {
+    refuse_request(event.caller, request, starting_retry_after, "no_evacuations", ctx);
+    return;
+  }
   if (request.id.empty()) {
     reject_request(event.caller, request, status_bad_request, "the request has no id",
                    ctx);
--- a/src/ibis/serving/registry.cpp
+++ b/src/ibis/serving/registry.cpp
@@ -5,6 +5,7 @@
 #include <unordered_set>  // for unordered_set
 
 #include "ibis/serving/connections.hpp"    // for close_idle
+#include "ibis/serving/evacuations.hpp"    // for is_evacuated
 #include "ibis/serving/waiting_tasks.hpp"  // for dispatch_waiting_tasks
 
 namespace ibis::serving {
@@ -66,6 +67,7 @@
   leaf->concurrency_limit = ctx.node.settings.leafs.initial_limit;
   leaf->warming_until = ctx.now + record.warm_up;
   leaf->leaving = has_said_leaving(record, ctx);
+  leaf->evacuated = is_evacuated(ctx.node, record.availability_zone);
   ctx.node.leafs[record.id] = leaf;
   ctx.node.holders_outdated = true;
   ctx.node.services[record.service].leafs.push_back(leaf);
@@ -88,8 +90,12 @@
   leaf->record = record;
   leaf->registration = leaf_registration::active;
   leaf->warming_until = ctx.now + record.warm_up;
+  const bool was_evacuated = leaf->evacuated;
+  leaf->evacuated = is_evacuated(ctx.node, record.availability_zone);
   if (starts_draining) {
     log_leaf("leaf_draining", *leaf, ctx);
+  }
+  if (starts_draining || (leaf->evacuated && !was_evacuated)) {
     close_idle(*leaf, ctx);
     dispatch_waiting_tasks(record.service, ctx);
   }
--- a/src/ibis/serving/shard_replies.cpp
+++ b/src/ibis/serving/shard_replies.cpp
@@ -5,6 +5,7 @@
 #include <utility>    // for move
 
 #include "ibis/serving/attempt.hpp"             // for find_pending_request
+#include "ibis/serving/evacuations.hpp"         // for knows_evacuations
 #include "ibis/serving/merge.hpp"               // for merge_records
 #include "ibis/serving/pending_request.hpp"     // for start_request
 #include "ibis/serving/request_completion.hpp"  // for remove_request
@@ -160,7 +161,8 @@
 void on_shards_requested(const shards_requested& event, context& ctx) {
   const wire::shards_request& request = event.request;
   ++ctx.node.count.shards_served;
-  if (ctx.node.stop.finished || request.shards.empty() || !ctx.node.configuration) {
+  if (ctx.node.stop.finished || request.shards.empty() || !ctx.node.configuration ||
+      !knows_evacuations(ctx.node)) {
     refuse(event, ctx);
     return;
   }
--- a/src/ibis/serving/shard_requests.cpp
+++ b/src/ibis/serving/shard_requests.cpp
@@ -5,9 +5,10 @@
 #include <memory>     // for make_shared
 #include <utility>    // for move
 
-#include "ibis/serving/attempt.hpp"   // for dispatch, give_up_task, answer_if_ready
-#include "ibis/serving/holders.hpp"   // for choose_holder, find_block
-#include "ibis/serving/registry.hpp"  // for on_leaving_reported
+#include "ibis/serving/attempt.hpp"      // for dispatch, give_up_task, answer_if_ready
+#include "ibis/serving/evacuations.hpp"  // for has_only_evacuated_leafs
+#include "ibis/serving/holders.hpp"      // for choose_holder, find_block
+#include "ibis/serving/registry.hpp"     // for on_leaving_reported
 
 namespace ibis::serving {
 namespace {
@@ -275,7 +276,10 @@
   std::map<std::size_t, task_list> by_block;
   for (std::size_t task = 0; task < pending.tasks.size(); ++task) {
     const auto found = ctx.node.holders.block_of.find(pending.tasks[task].service);
-    if (found == ctx.node.holders.block_of.end()) {
+    // No holder can query a shard whose leafs are all evacuated. Asking would only
+    // delay the answer.
+    if (found == ctx.node.holders.block_of.end() ||
+        has_only_evacuated_leafs(ctx.node, pending.tasks[task].service)) {
       own.push_back(task);
     } else {
       by_block[found->second].push_back(task);
--- a/src/ibis/serving/store_follower.cpp
+++ b/src/ibis/serving/store_follower.cpp
@@ -5,10 +5,11 @@
 #include <utility>    // for move
 
 #include "ibis/serving/backoff.hpp"       // for spread_backoff
+#include "ibis/serving/evacuations.hpp"   // for apply_evacuations
 #include "ibis/serving/holders.hpp"       // for update_holders
 #include "ibis/serving/peer_replies.hpp"  // for record_change, reply_to_waiting_peers
 #include "ibis/serving/registry.hpp"      // for apply_changes, apply_listing
-#include "ibis/serving/topic_calls.hpp"   // for start_listing, start_watch
+#include "ibis/serving/topic_calls.hpp"   // for followed_topics, start_watch
 #include "ibis/serving/view_age.hpp"      // for mark_verified, view_age
 
 namespace ibis::serving {
@@ -102,17 +103,50 @@
   resume_after(topic, backoff(state, ctx), topic_phase::listing, ctx);
 }
 
+/// Applies changes, whoever reported them.
+void apply_update(const topic_changed& update, context& ctx) {
+  if (!has_changes(update)) {
+    return;
+  }
+  apply_catalog(update.configuration, ctx);
+  log_update("store_changes_applied", update.topic,
+             update.leafs.size() + update.zones.size(), ctx);
+  apply_changes(update.leafs, ctx);
+  apply_zone_changes(update.zones, ctx);
+}
+
+/// @return How long to wait after a change before the next watch.
+base::milliseconds pause_after_change(store_topic topic,
+                                      const store_settings& settings) {
+  switch (topic) {
+    case store_topic::configuration:
+      return settings.configuration_pause;
+    case store_topic::leafs:
+      return settings.leaf_pause;
+    case store_topic::evacuations:
+      return settings.evacuation_pause;
+  }
+  return settings.leaf_pause;
+}
+
+/// Applies a complete listing of a topic.
+void apply_entries(store_topic topic, const listed_entries& listed, context& ctx) {
+  log_update("store_listing_applied", topic, listed.leafs.size() + listed.zones.size(),
+             ctx);
+  if (topic == store_topic::leafs) {
+    apply_listing(listed.leafs, ctx);
+  } else if (topic == store_topic::evacuations) {
+    apply_zone_listing(listed.zones, ctx);
+  }
+}
+
 /// Applies the changes in a peer's reply. A peer whose data is outdated is avoided.
 void apply_peer_changes(const peer_replied& event, context& ctx) {
   const store_topic topic = event.update.topic;
   topic_state& state = state_of(topic, ctx);
   mark_verified(state, ctx.now - event.age);
   state.revision = std::max(state.revision, event.update.revision);
-  if (event.update.configuration || !event.update.leafs.empty()) {
-    log_update("store_changes_applied", topic, event.update.leafs.size(), ctx);
-  }
-  apply_catalog(event.update.configuration, ctx);
-  apply_changes(event.update.leafs, ctx);
+  apply_update(event.update, ctx);
   if (event.age > max_source_age(ctx.node.settings.store)) {
     drop_source(topic, "outdated", ctx);
   }
@@ -159,7 +193,7 @@
 }
 
 void start_following(context& ctx) {
-  for (const store_topic topic : {store_topic::configuration, store_topic::leafs}) {
+  for (const store_topic topic : followed_topics(ctx.node.settings)) {
     mark_verified(state_of(topic, ctx), ctx.now);
     start_listing(topic, "", ctx);
   }
@@ -174,15 +208,17 @@
   const std::uint64_t revision =
       std::min(state.listing_revision.value_or(event.revision), event.revision);
   state.listing_revision = revision;
-  state.pages.insert(state.pages.end(), event.leafs.begin(), event.leafs.end());
+  listed_entries& pages = state.pages;
+  pages.leafs.insert(pages.leafs.end(), event.leafs.begin(), event.leafs.end());
+  pages.zones.insert(pages.zones.end(), event.zones.begin(), event.zones.end());
   if (!event.next_page_after.empty()) {
     start_listing(event.topic, event.next_page_after, ctx);
     return;
   }
-  const std::vector<leaf_change> listed = std::move(state.pages);
-  state.pages.clear();
+  const listed_entries listed = std::move(state.pages);
+  state.pages = {};
   state.revision = revision;
-  if (may_list_stale_leafs(event.topic, state)) {
+  if (may_list_stale(event.topic, state)) {
     state.stale_listing_tried = true;
     ctx.add_timer(ctx.now + ctx.node.settings.store.stale_catch_up_time,
                   timer_kind::stale_listing_caught_up,
@@ -191,10 +227,7 @@
     state.listed = true;
     mark_verified(state, state.listing_started_at);
   }
-  log_update("store_listing_applied", event.topic, listed.size(), ctx);
-  if (event.topic == store_topic::leafs) {
-    apply_listing(listed, ctx);
-  }
+  apply_entries(event.topic, listed, ctx);
   restart_history(event.topic, revision, ctx);
   start_watch(event.topic, ctx);
   reply_to_waiting_peers(ctx);
@@ -204,7 +237,7 @@
   topic_state& state = state_of(event.topic, ctx);
   record_success(event.topic, ctx);
   mark_verified(state, ctx.now);
-  const bool empty = event.leafs.empty() && !event.configuration;
+  const bool empty = !has_changes(event);
   if (state.checking && !empty) {
     ctx.log("watch_missed_changes", {{"topic", name_of(event.topic)},
                                      {"watched_from", std::to_string(state.revision)},
@@ -212,24 +245,19 @@
   }
   state.revision = event.revision;
   state.listed = true;
-  apply_catalog(event.configuration, ctx);
   if (empty) {
     start_watch(event.topic, ctx);
     return;
   }
-  log_update("store_changes_applied", event.topic, event.leafs.size(), ctx);
   record_change(event, ctx);
-  apply_changes(event.leafs, ctx);
+  apply_update(event, ctx);
   reply_to_waiting_peers(ctx);
-  const store_settings& settings = ctx.node.settings.store;
-  const base::milliseconds pause = event.topic == store_topic::configuration
-                                       ? settings.configuration_pause
-                                       : settings.leaf_pause;
-  resume_after(event.topic, pause, topic_phase::watching, ctx);
+  resume_after(event.topic, pause_after_change(event.topic, ctx.node.settings.store),
+               topic_phase::watching, ctx);
 }
 
 void on_store_call_failed(const store_call_failed& event, context& ctx) {
-  state_of(event.topic, ctx).pages.clear();
+  state_of(event.topic, ctx).pages = {};
   state_of(event.topic, ctx).stale_listing_tried = true;
   handle_call_failure(event.topic, event.failure, event.detail, ctx);
 }
@@ -277,20 +305,23 @@
     on_silent_source(topic, ctx);
     return;
   }
-  state.pages.clear();
+  state.pages = {};
   ctx.out.emplace_back(cancel_store_call{topic});
   handle_call_failure(topic, store_failure::unreachable, "no answer in time", ctx);
 }
 
 bool depends_on_store(const node_state& node) {
+  const std::vector<store_topic> topics = followed_topics(node.settings);
   return node.store_unavailable ||
-         std::any_of(node.topics.begin(), node.topics.end(),
-                     [](const topic_state& topic) { return topic.source.empty(); });
+         std::any_of(topics.begin(), topics.end(), [&node](store_topic topic) {
+           return node.topics[static_cast<std::size_t>(topic)].source.empty();
+         });
 }
 
 bool has_routing_data(const node_state& node) {
   return node.configuration != nullptr &&
-         node.topics[static_cast<std::size_t>(store_topic::leafs)].listed;
+         node.topics[static_cast<std::size_t>(store_topic::leafs)].listed &&
+         knows_evacuations(node);
 }
 
 }  // namespace ibis::serving
--- a/src/ibis/serving/store_follower_test.cpp
+++ b/src/ibis/serving/store_follower_test.cpp
@@ -27,7 +27,8 @@
           revision,
           next_page_after,
           {{leaf, make_record(leaf, false)}},
-          nullptr};
+          nullptr,
+          {}};
 }
 
 /// @return The watch of leafs among the effects, if there is one.
@@ -75,7 +76,7 @@
   const watch_topic* watch = find_watch(out);
   REQUIRE(watch != nullptr);
   CHECK(watch->revision == 12);
-  reduce(node, topic_changed{store_topic::leafs, 21, {{"b", std::nullopt}}, {}, {}},
+  reduce(node, topic_changed{store_topic::leafs, 21, {{"b", std::nullopt}}, {}, {}, {}},
          start_time);
   CHECK_FALSE(node.leafs.contains("b"));
 }
@@ -84,7 +85,7 @@
   node_state node = make_node({}, 1);
   start(node, start_time);
   reduce(node, make_page(10, "a", ""), start_time);
-  topic_changed changed{store_topic::leafs, 15, {}, nullptr, nullptr};
+  topic_changed changed{store_topic::leafs, 15, {}, nullptr, nullptr, {}};
   changed.leafs.push_back({"a", make_record("a", true)});
   reduce(node, changed, start_time);
   // The watch that follows a listing may repeat changes that the listing had.
--- a/src/ibis/serving/store_probe.cpp
+++ b/src/ibis/serving/store_probe.cpp
@@ -1,17 +1,12 @@
 #include "ibis/serving/store_probe.hpp"
 
-#include <array>  // for array
-
 #include "ibis/serving/store_follower.hpp"  // for depends_on_store, record_failure
-#include "ibis/serving/topic_calls.hpp"     // for check_watch, start_watch
+#include "ibis/serving/topic_calls.hpp"     // for check_watch, followed_topics
 #include "ibis/serving/view_age.hpp"        // for mark_verified
 
 namespace ibis::serving {
 namespace {
 
-constexpr std::array<store_topic, store_topic_count> all_topics{
-    store_topic::configuration, store_topic::leafs};
-
 /// Replaces a watch that the store may have dropped without notice.
 void replace_lost_watch(store_topic topic, const store_probed& event, context& ctx) {
   const topic_state& state = state_of(topic, ctx);
@@ -42,7 +37,7 @@
   const bool call_is_lost =
       ctx.now - state.called_at >= ctx.node.settings.store.probe_limit;
   if (state.paused || call_is_lost) {
-    state.pages.clear();
+    state.pages = {};
     ctx.out.emplace_back(cancel_store_call{topic});
     start_listing(topic, "", ctx);
   }
@@ -80,7 +75,7 @@
 
 void on_store_probed(const store_probed& event, context& ctx) {
   const bool was_unavailable = ctx.node.store_unavailable;
-  for (const store_topic topic : all_topics) {
+  for (const store_topic topic : followed_topics(ctx.node.settings)) {
     if (!event.answered) {
       replace_lost_watch(topic, event, ctx);
     } else if (event.revision && was_unavailable) {
--- a/src/ibis/serving/topic_calls.cpp
+++ b/src/ibis/serving/topic_calls.cpp
@@ -50,29 +50,45 @@
 }  // namespace
 
 const char* name_of(store_topic topic) {
-  return topic == store_topic::configuration ? "configuration" : "leafs";
+  switch (topic) {
+    case store_topic::configuration:
+      return "configuration";
+    case store_topic::leafs:
+      return "leafs";
+    case store_topic::evacuations:
+      return "evacuations";
+  }
+  return "";
+}
+
+std::vector<store_topic> followed_topics(const node_settings& settings) {
+  std::vector<store_topic> topics{store_topic::configuration, store_topic::leafs};
+  if (settings.store.follow_evacuations) {
+    topics.push_back(store_topic::evacuations);
+  }
+  return topics;
 }
 
 topic_state& state_of(store_topic topic, context& ctx) {
   return ctx.node.topics[static_cast<std::size_t>(topic)];
 }
 
-bool may_list_stale_leafs(store_topic topic, const topic_state& state) {
-  return topic == store_topic::leafs && !state.stale_listing_tried;
+bool may_list_stale(store_topic topic, const topic_state& state) {
+  return topic != store_topic::configuration && !state.stale_listing_tried;
 }
 
 void start_listing(store_topic topic, const std::string& after, context& ctx) {
   topic_state& state = state_of(topic, ctx);
   state.phase = topic_phase::listing;
   if (after.empty()) {
-    state.pages.clear();
+    state.pages = {};
     state.listing_revision.reset();
     state.listing_started_at = ctx.now;
   }
   set_source(topic, "", ctx);
   ++ctx.node.count.store_calls;
   start_call(topic, ctx.node.settings.store.list_timeout, ctx);
-  ctx.out.emplace_back(list_topic{topic, after, may_list_stale_leafs(topic, state)});
+  ctx.out.emplace_back(list_topic{topic, after, may_list_stale(topic, state)});
 }
 
 void watch_store(store_topic topic, context& ctx) {
--- a/standins/follower_fleet.cpp
+++ b/standins/follower_fleet.cpp
@@ -12,17 +12,26 @@
 constexpr base::microseconds peer_delay{300};
 constexpr base::milliseconds refusal_delay{1};
 
+void count_evacuation_call(follower_fleet::fleet_node& node,
+                           serving::store_topic topic) {
+  node.evacuation_calls += topic == serving::store_topic::evacuations ? 1 : 0;
+}
+
 }  // namespace
 
 void follower_fleet::add_node(const std::string& name, const std::string& zone) {
   serving::node_settings settings;
   settings.node = name;
   settings.availability_zone = zone;
-  fleet_node& added = nodes[name];
+  add_node(settings);
+}
+
+void follower_fleet::add_node(const serving::node_settings& settings) {
+  fleet_node& added = nodes[settings.node];
   added.state =
       serving::make_node(settings, static_cast<std::uint32_t>(nodes.size()) + 1);
-  added.availability_zone = zone;
-  carry_out(name, serving::start(added.state, now_));
+  added.availability_zone = settings.availability_zone;
+  carry_out(settings.node, serving::start(added.state, now_));
 }
 
 void follower_fleet::announce_nodes() {
@@ -75,6 +84,22 @@
   publish_change(std::move(change));
 }
 
+void follower_fleet::evacuate(const std::string& zone) {
+  evacuated_zones_.insert(zone);
+  serving::topic_changed change;
+  change.topic = serving::store_topic::evacuations;
+  change.zones.push_back({zone, true});
+  publish_change(std::move(change));
+}
+
+void follower_fleet::end_evacuation(const std::string& zone) {
+  evacuated_zones_.erase(zone);
+  serving::topic_changed change;
+  change.topic = serving::store_topic::evacuations;
+  change.zones.push_back({zone, false});
+  publish_change(std::move(change));
+}
+
 void follower_fleet::publish_change(serving::topic_changed change) {
   change.revision = ++revision_;
   changes_.push_back(std::move(change));
@@ -152,6 +177,13 @@
       }));
 }
 
+std::size_t follower_fleet::count_nodes_evacuating(const std::string& zone) const {
+  return static_cast<std::size_t>(
+      std::count_if(nodes.begin(), nodes.end(), [&zone](const auto& entry) {
+        return entry.second.alive && entry.second.state.evacuated_zones.contains(zone);
+      }));
+}
+
 std::uint64_t follower_fleet::count_watches() const {
   std::uint64_t total = 0;
   for (const auto& [name, node] : nodes) {
@@ -210,6 +242,7 @@
                                    const serving::list_topic& effect) {
   fleet_node& self = nodes.at(node);
   ++self.list_count;
+  count_evacuation_call(self, effect.topic);
   const std::uint64_t serial = ++call_serials_[node][effect.topic];
   if (self.partitioned_from_store) {
     return;
@@ -228,6 +261,10 @@
     listed.revision = revision_;
     if (effect.topic == serving::store_topic::configuration) {
       listed.configuration = configuration_;
+    } else if (effect.topic == serving::store_topic::evacuations) {
+      for (const std::string& zone : evacuated_zones_) {
+        listed.zones.push_back({zone, true});
+      }
     } else {
       for (const auto& [id, record] : leafs_) {
         listed.leafs.push_back({id, record});
@@ -241,6 +278,7 @@
                                    const serving::watch_topic& effect) {
   fleet_node& self = nodes.at(node);
   ++self.watch_count;
+  count_evacuation_call(self, effect.topic);
   const std::uint64_t serial = ++call_serials_[node][effect.topic];
   if (self.partitioned_from_store) {
     return;
@@ -277,7 +315,7 @@
     return true;
   }
   const serving::topic_changed changes = changes_since(watch.topic, watch.revision);
-  if (changes.leafs.empty() && !changes.configuration && !wait_over) {
+  if (!has_changes(changes) && !wait_over) {
     return false;
   }
   after(store_delay, [this, watch, changes] { deliver_event(watch.node, changes); });
@@ -299,6 +337,7 @@
       continue;
     }
     changes.leafs.insert(changes.leafs.end(), change.leafs.begin(), change.leafs.end());
+    changes.zones.insert(changes.zones.end(), change.zones.begin(), change.zones.end());
     changes.configuration = change.configuration;
   }
   const std::string text = std::to_string(static_cast<int>(topic)) + ' ' +
@@ -316,6 +355,7 @@
 
 void follower_fleet::on_query_peer(const std::string& node,
                                    const serving::query_peer& effect) {
+  count_evacuation_call(nodes.at(node), effect.topic);
   if (!nodes.contains(effect.to.node) || !nodes.at(effect.to.node).alive) {
     after(refusal_delay, [this, node, effect] {
       serving::peer_replied failure{
@@ -347,6 +387,8 @@
     const serving::topic_changed& change = changes_by_text_.at(*text);
     reply.update.leafs.insert(reply.update.leafs.end(), change.leafs.begin(),
                               change.leafs.end());
+    reply.update.zones.insert(reply.update.zones.end(), change.zones.begin(),
+                              change.zones.end());
     reply.update.configuration = change.configuration;
   }
   after(peer_delay, [this, to = effect.node, reply] { deliver_event(to, reply); });
--- a/standins/follower_fleet.hpp
+++ b/standins/follower_fleet.hpp
@@ -28,10 +28,14 @@
     bool partitioned_from_store = false;  ///< Its calls of the store get no answer.
     std::uint64_t watch_count = 0;        ///< Watch calls that it made to the store.
     std::uint64_t list_count = 0;         ///< List calls that it made to the store.
+    /// List, watch and peer calls about evacuations.
+    std::uint64_t evacuation_calls = 0;
   };
 
   /// Adds a node and starts it at once.
   void add_node(const std::string& name, const std::string& zone);
+  /// Adds a node with settings of its own and starts it at once.
+  void add_node(const serving::node_settings& settings);
   /// Sends each live node the list of all nodes, as the store records it.
   void announce_nodes();
   /// Writes a configuration of this version to the store.
@@ -40,6 +44,10 @@
   void add_leaf(const std::string& id);
   /// Deletes a leaf's record from the store.
   void remove_leaf(const std::string& id);
+  /// Writes an evacuation of an availability zone to the store.
+  void evacuate(const std::string& zone);
+  /// Removes an evacuation from the store.
+  void end_evacuation(const std::string& zone);
   /// Drops the store's history of changes: open watches are disconnected, and watches
   /// from an older revision fail.
   void drop_history();
@@ -56,6 +64,8 @@
   [[nodiscard]] std::size_t count_nodes_at_version(std::uint64_t version) const;
   /// @return The number of live nodes that know a leaf.
   [[nodiscard]] std::size_t count_nodes_knowing_leaf(const std::string& leaf) const;
+  /// @return The number of live nodes that know that a zone is evacuated.
+  [[nodiscard]] std::size_t count_nodes_evacuating(const std::string& zone) const;
   /// @return The number of watch calls that all nodes have made to the store.
   [[nodiscard]] std::uint64_t count_watches() const;
 
@@ -96,6 +106,7 @@
   std::vector<serving::topic_changed> changes_;
   serving::catalog_ptr configuration_;
   std::map<std::string, serving::leaf_record> leafs_;
+  std::set<std::string> evacuated_zones_;
   std::vector<pending_watch> watches_;
   /// The serial number of each node's last call for each topic; earlier calls are
   /// obsolete.
--- a/standins/holder_fleet.cpp
+++ b/standins/holder_fleet.cpp
@@ -50,6 +50,16 @@
   }
 }
 
+void holder_fleet::evacuate(const std::string& zone) {
+  for (const auto& [name, node] : nodes) {
+    serving::topic_changed change;
+    change.topic = serving::store_topic::evacuations;
+    change.revision = node.state.topics[2].revision + 1;
+    change.zones.push_back({zone, true});
+    deliver_event(name, change);
+  }
+}
+
 void holder_fleet::configure(serving::catalog catalog) {
   for (auto& [name, service] : catalog.services) {
     service.max_connections = connection_limit_;
@@ -81,6 +91,12 @@
   deliver_event(name, counted);
   deliver_event(name, configuration);
   deliver_event(name, listing);
+  if (nodes.at(name).state.settings.store.follow_evacuations) {
+    serving::topic_listed evacuations;
+    evacuations.topic = serving::store_topic::evacuations;
+    evacuations.revision = 1;
+    deliver_event(name, evacuations);
+  }
 }
 
 void holder_fleet::start() {
--- a/standins/holder_fleet.hpp
+++ b/standins/holder_fleet.hpp
@@ -55,6 +55,8 @@
                 const std::string& zone);
   /// Removes a leaf's record at all nodes.
   void remove_leaf(const std::string& id);
+  /// Tells all nodes that an availability zone is evacuated.
+  void evacuate(const std::string& zone);
   void configure(serving::catalog catalog);
   /// Starts all nodes with the configuration, all leafs and the list of nodes, and runs
   /// them for some seconds, so that they warm up.
--- a/standins/serving_fleet.cpp
+++ b/standins/serving_fleet.cpp
@@ -61,11 +61,28 @@
 void serving_fleet::set_store(store_mode mode) {
   store_mode_ = mode;
   for (const auto topic :
-       {serving::store_topic::configuration, serving::store_topic::leafs}) {
+       {serving::store_topic::configuration, serving::store_topic::leafs,
+        serving::store_topic::evacuations}) {
     notify_watch(topic);
   }
 }
 
+void serving_fleet::evacuate(const std::string& zone) {
+  evacuations_[zone] = {++revision_, true};
+  notify_watch(serving::store_topic::evacuations);
+}
+
+void serving_fleet::end_evacuation(const std::string& zone) {
+  evacuations_[zone] = {++revision_, false};
+  notify_watch(serving::store_topic::evacuations);
+}
+
+void serving_fleet::silence_watches() {
+  for (auto& [topic, call] : calls_) {
+    call.silenced = !call.listing;
+  }
+}
+
 void serving_fleet::drop_history() {
   oldest_revision_ = ++revision_;
   for (auto& [topic, call] : calls_) {
@@ -329,7 +346,7 @@
 void serving_fleet::on_store_call(serving::store_topic topic, bool listing,
                                   std::uint64_t revision) {
   pending_call& call = calls_[topic];
-  call = {listing, revision, true, call.serial + 1};
+  call = {listing, revision, true, call.serial + 1, false};
   after(one_way_delay, [this, topic, serial = call.serial] {
     if (calls_[topic].serial == serial) {
       answer_store_call(topic);
@@ -343,7 +360,7 @@
     pending_call& call = calls_[topic];
     if (call.active && call.serial == serial && store_mode_ == store_mode::healthy) {
       call.active = false;
-      deliver_event(serving::topic_changed{topic, revision_, {}, nullptr, nullptr});
+      deliver_event(serving::topic_changed{topic, revision_, {}, nullptr, nullptr, {}});
     }
   });
 }
@@ -353,7 +370,7 @@
   if (store_mode_ == store_mode::dropping_calls) {
     call.active = false;
   }
-  if (!call.active || store_mode_ == store_mode::stalled) {
+  if (!call.active || call.silenced || store_mode_ == store_mode::stalled) {
     return;
   }
   if (store_mode_ == store_mode::busy) {
@@ -376,7 +393,7 @@
   serving::event answer =
       call.listing ? make_listing(topic) : make_changes(topic, call.revision);
   const auto* changed = std::get_if<serving::topic_changed>(&answer);
-  if (changed != nullptr && changed->leafs.empty() && !changed->configuration) {
+  if (changed != nullptr && !has_changes(*changed)) {
     return;  // There is no change, so the watch stays pending.
   }
   call.active = false;
@@ -395,6 +412,14 @@
     event.configuration = configuration_;
     return event;
   }
+  if (topic == serving::store_topic::evacuations) {
+    for (const auto& [zone, change] : evacuations_) {
+      if (change.second) {
+        event.zones.push_back({zone, true});
+      }
+    }
+    return event;
+  }
   for (const auto& [id, revision] : registered_) {
     event.leafs.push_back({id, leafs.at(id).record});
   }
@@ -410,6 +435,14 @@
     event.configuration = configuration_revision_ > since ? configuration_ : nullptr;
     return event;
   }
+  if (topic == serving::store_topic::evacuations) {
+    for (const auto& [zone, change] : evacuations_) {
+      if (change.first > since) {
+        event.zones.push_back({zone, change.second});
+      }
+    }
+    return event;
+  }
   for (const auto& [id, revision] : registered_) {
     if (revision > since) {
       event.leafs.push_back({id, leafs.at(id).record});
--- a/standins/serving_fleet.hpp
+++ b/standins/serving_fleet.hpp
@@ -9,6 +9,7 @@
 #include <random>      // for mt19937_64
 #include <set>         // for set
 #include <string>      // for string
+#include <utility>     // for pair
 #include <vector>      // for vector
 
 #include "ibis/serving/node.hpp"  // for node_state
@@ -99,6 +100,12 @@
   void unregister(const std::string& id);
   /// Writes a configuration to the store.
   void configure(serving::catalog catalog);
+  /// Writes an evacuation of an availability zone to the store.
+  void evacuate(const std::string& zone);
+  /// Removes an evacuation from the store.
+  void end_evacuation(const std::string& zone);
+  /// Makes the store report no change on the open watches; new ones get all changes.
+  void silence_watches();
   /// Changes how the store handles calls, including those that wait for an answer.
   void set_store(store_mode mode);
   /// Drops the store's history of changes: open watches are disconnected, and watches
@@ -153,6 +160,7 @@
     std::uint64_t revision = 0;
     bool active = false;
     std::uint64_t serial = 0;
+    bool silenced = false;  ///< It is told no change.
   };
 
   void after(base::duration delay, std::function<void()> action);
@@ -187,6 +195,8 @@
   std::map<std::string, std::uint64_t> registered_;
   /// Leaf id to revision of its removal.
   std::map<std::string, std::uint64_t> removed_;
+  /// Zone to the revision at which its evacuation began or ended, and which of them.
+  std::map<std::string, std::pair<std::uint64_t, bool>> evacuations_;
   serving::catalog_ptr configuration_;
   std::uint64_t configuration_revision_ = 0;
   std::uint64_t revision_ = 1;
