--- a/scripts/check-wire-names.sh
+++ b/scripts/check-wire-names.sh
@@ -10,6 +10,7 @@
 names+='|Server-Leaving|headerTimeoutMs|idleTimeoutMs|/v1/readiness'
 names+='|IBISWHEEL_CONFIG|instanceId|drainMs|graceS|stabilityWindowMs|outerMs|retryWindowS|waitMs'
 names+='|nodeName|listenAddrs|internalPortRange|faultTolerance|retryBudgetRatio|configApplyMs'
+names+='|evacuateMs|warmupS|warmupPerS|warmupOverage|warmupSlack|X-Warmup-Ms'
 matches=$(git ls-files --cached --others --exclude-standard '*.cpp' '*.hpp' '*.sh' '*.yaml' '*.fbs' |
   grep -vE '^(platform|deploy)/|^scripts/check-wire-names.sh$' | xargs grep -nwE "$names" || true)
 if [ -n "$matches" ]; then
--- a/src/ibis/reactor/node_metrics.cpp
+++ b/src/ibis/reactor/node_metrics.cpp
@@ -7,6 +7,7 @@
 #include <sstream>    // for ostringstream
 
 #include "ibis/serving/leaf_backoff.hpp"  // for backs_off
+#include "ibis/serving/topic_calls.hpp"   // for followed_topics, name_of
 
 namespace ibis::reactor {
 namespace {
@@ -38,12 +39,11 @@
 
 void write_view_ages(std::ostringstream& out, const serving::node_state& node,
                      base::time_point now) {
-  constexpr std::array<const char*, serving::store_topic_count> names{"configuration",
-                                                                      "leafs"};
   out << "# TYPE ibis_store_view_age_ms gauge\n";
-  for (std::size_t topic = 0; topic < names.size(); ++topic) {
-    out << "ibis_store_view_age_ms{topic=\"" << names[topic] << "\"} "
-        << base::to_ms(now - node.topics[topic].verified_at) << '\n';
+  for (const serving::store_topic topic : serving::followed_topics(node.settings)) {
+    const serving::topic_state& state = node.topics[static_cast<std::size_t>(topic)];
+    out << "ibis_store_view_age_ms{topic=\"" << serving::name_of(topic) << "\"} "
+        << base::to_ms(now - state.verified_at) << '\n';
   }
 }
 
@@ -85,17 +85,21 @@
   write_gauge(out, "longest_turn_processor_ms", turns.lengths().max_ms());
 }
 
-/// Writes how many leafs have said that they leave, and how many back off.
+/// Writes how many leafs have said that they leave, back off, or are evacuated.
 void write_leaf_states(std::ostringstream& out, const serving::node_state& node,
                        base::time_point now) {
   double leaving = 0;
   double backing_off = 0;
+  double evacuated = 0;
   for (const auto& [id, leaf] : node.leafs) {
     leaving += leaf->leaving ? 1 : 0;
     backing_off += serving::backs_off(*leaf, now) ? 1 : 0;
+    evacuated += leaf->evacuated ? 1 : 0;
   }
   write_gauge(out, "leafs_leaving", leaving);
   write_gauge(out, "leafs_backing_off", backing_off);
+  write_gauge(out, "leafs_evacuated", evacuated);
+  write_gauge(out, "zones_evacuated", static_cast<double>(node.evacuated_zones.size()));
 }
 
 void write_counters(std::ostringstream& out, const serving::node_counters& count) {
--- a/src/ibis/reactor/peer_link.cpp
+++ b/src/ibis/reactor/peer_link.cpp
@@ -27,6 +27,8 @@
 void append_changes(serving::topic_changed& all, serving::topic_changed&& next) {
   all.leafs.insert(all.leafs.end(), std::make_move_iterator(next.leafs.begin()),
                    std::make_move_iterator(next.leafs.end()));
+  all.zones.insert(all.zones.end(), std::make_move_iterator(next.zones.begin()),
+                   std::make_move_iterator(next.zones.end()));
   if (next.configuration) {
     all.configuration = std::move(next.configuration);
   }
--- a/src/ibis/reactor/process_settings.cpp
+++ b/src/ibis/reactor/process_settings.cpp
@@ -57,7 +57,8 @@
   value.peers.watchers = watchers;
 }
 
-/// Reads how soon changes in the store must be applied.
+/// Reads how soon changes in the store must be applied. Evacuations are followed only
+/// if their limit is stated.
 void read_propagation(config::reader& root, serving::node_settings& value) {
   constexpr milliseconds default_limit{3000};
   const milliseconds shortest = serving::shortest_propagation_limit(value);
@@ -66,8 +67,11 @@
   config::reader propagation = root.child("propagation");
   propagation.read("configuration_ms", configuration, shortest, max_margin);
   propagation.read("leafs_ms", leafs, shortest, max_margin);
+  milliseconds evacuations = std::min(configuration, leafs);
+  value.store.follow_evacuations = propagation.has("evacuations_ms");
+  propagation.read("evacuations_ms", evacuations, shortest, max_margin);
   propagation.report_unknown_keys();
-  serving::fit_propagation(value, std::min(configuration, leafs));
+  serving::fit_propagation(value, std::min({configuration, leafs, evacuations}));
 }
 
 void read_holders(config::reader& root, serving::node_settings& value) {
--- a/src/ibis/reactor/process_settings_test.cpp
+++ b/src/ibis/reactor/process_settings_test.cpp
@@ -85,6 +85,28 @@
   CHECK_FALSE(parsed.value.log.log_requests);
 }
 
+// Guards against a node that waits for a list of evacuations that its platform does not
+// have, and against one that checks its watches too seldom for the shortest limit.
+TEST_CASE("Evacuations are followed only if their limit is stated, and within it") {
+  const auto parse = [](const std::string& limit) {
+    std::string text = valid_settings;
+    text.replace(text.find("  leafs_ms: 3000\n"), 17, limit);
+    const auto source = config::parse_document(text, "node.yaml");
+    REQUIRE(source);
+    const auto parsed = parse_process_settings(source.value());
+    CHECK(parsed.errors.empty());
+    return parsed.value.serving.store;
+  };
+  CHECK_FALSE(parse("  leafs_ms: 3000\n").follow_evacuations);
+  const auto slower = parse("  leafs_ms: 3000\n  evacuations_ms: 6000\n");
+  CHECK(slower.follow_evacuations);
+  CHECK(slower.probe_period == base::milliseconds(1000));
+  const auto faster = parse("  leafs_ms: 3000\n  evacuations_ms: 2700\n");
+  CHECK(faster.probe_period == base::milliseconds(900));
+  // Without the default of leafs, 3000 ms, the limit of evacuations would count.
+  CHECK(parse("  evacuations_ms: 5000\n").probe_period == base::milliseconds(1000));
+}
+
 TEST_CASE("Each invalid or missing setting is reported as an error") {
   CHECK(count_errors("node: a") == 4);
   CHECK(count_errors(valid_settings + "surprise: 1\n") == 1);
@@ -96,6 +118,10 @@
   std::string short_limit = valid_settings;
   short_limit.replace(short_limit.find("leafs_ms: 3000"), 14, "leafs_ms: 2000");
   CHECK(count_errors(short_limit) == 1);
+  std::string short_evacuations = valid_settings;
+  short_evacuations.replace(short_evacuations.find("leafs_ms: 3000"), 14,
+                            "evacuations_ms: 2000");
+  CHECK(count_errors(short_evacuations) == 1);
   CHECK(count_errors("[1, 2]") >= 1);
   CHECK(count_errors("") >= 1);
 }
