Quota: the parts of a bound also fit at high rates

At 90 a second the delay between a grant and its use took more than its share, and the parts came to 524 of 515. The other parts now divide what is left.

--- a/src/ibis/quota/bound.cpp
+++ b/src/ibis/quota/bound.cpp
@@ -6,11 +6,12 @@
 namespace ibis::quota {
 namespace {
 
-/// Shares of the excess. Together they are 1.
+/// The share of the excess for the delay between a grant and its use, and the shares of
+/// the rest. The latter are together 1.
 constexpr double delay_share = 0.35;
-constexpr double headroom_share = 0.1;
-constexpr double limited_share = 0.35;
-constexpr double local_share = 0.2;
+constexpr double headroom_share = 0.1 / (1 - delay_share);
+constexpr double limited_share = 0.35 / (1 - delay_share);
+constexpr double local_share = 0.2 / (1 - delay_share);
 
 /// Longest usual time between the admission of a request and its arrival at a leaf:
 /// a request that waits longer for a connection is mostly given up.
@@ -68,10 +69,16 @@
   const double spare = excess(limit, settings);
   plan value;
   value.rate_per_s = limit.rate_per_s;
-  value.capacity = std::max(1.0, limit.burst + headroom_share * spare);
   value.validity = choose_validity(delay_share * spare, limit.rate_per_s);
-  set_limited_share(value, limited_share * spare, settings);
-  value.local_nodes = static_cast<std::size_t>(std::floor(local_share * spare));
+  const double time_s = admission_time_s(settings.window, value.validity);
+  const double delay = limit.rate_per_s * (time_s - to_seconds(settings.window));
+  const double rest = std::max(0.0, spare - std::max(delay, delay_share * spare));
+  value.capacity = std::max(1.0, limit.burst + headroom_share * rest);
+  // The shortest validity can be too long for a high rate: then less is admitted.
+  const double most = arrivals_bound(limit, settings) - value.capacity;
+  value.rate_per_s = std::min(limit.rate_per_s, std::max(0.0, most) / time_s);
+  set_limited_share(value, limited_share * rest, settings);
+  value.local_nodes = static_cast<std::size_t>(std::floor(local_share * rest));
   value.local_period = from_seconds(to_seconds(settings.window) + arrival_delay_s);
   return value;
 }
