--- a/include/ibis/serving/connections.hpp
+++ b/include/ibis/serving/connections.hpp
@@ -51,7 +51,7 @@
   base::time_point send_until{};      ///< Until when the request may be sent again.
   base::duration typical_latency{0};  ///< Latency that is typical of its route.
   base::duration late_after{0};       ///< Age from which the leaf counts as suspect.
-  cost::request_class cost_class;     ///< Of the request.
+  cost::request_class cost_class{};   ///< Of the request.
   base::duration expected{0};         ///< What a leaf needs for it; 0 if unknown.
 };
 
--- a/include/ibis/serving/event.hpp
+++ b/include/ibis/serving/event.hpp
@@ -63,10 +63,10 @@
   bool leaf_leaving = false;       ///< The leaf says that it leaves.
   /// For how long the leaf wants no request from this node; nothing if not stated.
   std::optional<base::milliseconds> retry_after;
-  bool retry_after_unreadable = false;    ///< It states a time that is none.
-  std::optional<cost::load_report> load;  ///< The leaf's load, if it states it.
-  bool load_unreadable = false;           ///< It states a load with invalid values.
-  http::header_fields fields;             ///< Fields to forward to the client.
+  bool retry_after_unreadable = false;      ///< It states a time that is none.
+  std::optional<cost::load_report> load{};  ///< The leaf's load, if it states it.
+  bool load_unreadable = false;             ///< It states a load with invalid values.
+  http::header_fields fields;               ///< Fields to forward to the client.
   std::string body;
 };
 
--- a/include/ibis/serving/leaf_state.hpp
+++ b/include/ibis/serving/leaf_state.hpp
@@ -29,10 +29,10 @@
   base::connection_id connection;
   base::time_point sent_at{};
   base::duration late_after{0};  ///< Age of the request that makes the leaf suspect.
-  cost::request_class cost_class;
+  cost::request_class cost_class{};
   base::duration expected{0};  ///< What a leaf needs for it; 0 if unknown.
   /// When it got a slot, as far as this node can tell; nothing while it waits.
-  std::optional<base::time_point> started_at;
+  std::optional<base::time_point> started_at{};
   bool found_idle_slot = false;  ///< It did not wait behind requests of this node.
 };
 
