--- a/include/ibis/serving/event.hpp
+++ b/include/ibis/serving/event.hpp
@@ -12,6 +12,7 @@
 
 #include "ibis/base/id.hpp"                  // for caller_id, connection_id
 #include "ibis/base/time.hpp"                // for milliseconds
+#include "ibis/cost/load_report.hpp"         // for load_report
 #include "ibis/http/message.hpp"             // for header_fields
 #include "ibis/serving/catalog.hpp"          // for catalog_ptr
 #include "ibis/serving/inbound_request.hpp"  // for inbound_request_ptr
@@ -62,8 +63,10 @@
   bool leaf_leaving = false;       ///< The leaf says that it leaves.
   /// For how long the leaf wants no request from this node; nothing if not stated.
   std::optional<base::milliseconds> retry_after;
-  bool retry_after_unreadable = false;  ///< It states a time that is none.
-  http::header_fields fields;           ///< Fields to forward to the client.
+  bool retry_after_unreadable = false;      ///< It states a time that is none.
+  std::optional<cost::load_report> load{};  ///< The leaf's load, if it states it.
+  bool load_unreadable = false;             ///< It states a load with invalid values.
+  http::header_fields fields;               ///< Fields to forward to the client.
   std::string body;
 };
 
@@ -76,9 +79,9 @@
 };
 
 /// The parts of the store's data that a node follows.
-enum class store_topic : std::uint8_t { configuration, leafs };
+enum class store_topic : std::uint8_t { configuration, leafs, evacuations };
 /// Number of enumerators of `store_topic`.
-inline constexpr std::size_t store_topic_count = 2;
+inline constexpr std::size_t store_topic_count = 3;
 
 /// A leaf's record in the registry was written or removed.
 struct leaf_change {
@@ -86,6 +89,12 @@
   std::optional<leaf_record> record;  ///< Empty if it was removed or cannot be parsed.
 };
 
+/// An availability zone was evacuated, or its evacuation ended.
+struct zone_change {
+  std::string zone;
+  bool evacuated = false;
+};
+
 /// A page of a topic's complete listing.
 struct topic_listed {
   store_topic topic = store_topic::configuration;
@@ -94,6 +103,7 @@
   std::string next_page_after;
   std::vector<leaf_change> leafs;
   catalog_ptr configuration;
+  std::vector<zone_change> zones;
 };
 
 /// Changes after the revision that a watch started from; none if the wait timed out.
@@ -104,8 +114,12 @@
   catalog_ptr configuration;
   /// The store's answer, unparsed, to forward to peers.
   std::shared_ptr<const std::string> text;
+  std::vector<zone_change> zones;
 };
 
+/// Whether there are changes. There are none if the wait of a watch has ended.
+bool has_changes(const topic_changed& update);
+
 /// Why a call to the store failed.
 enum class store_failure : std::uint8_t {
   unreachable,      ///< The connection failed, broke or timed out.
@@ -197,6 +211,24 @@
   base::block_call_id call;
 };
 
+/// Another node asks for tokens of an account, or tells who owns it.
+struct quota_requested {
+  std::string node;
+  wire::quota_request request;
+};
+
+/// Another node answered a request for tokens.
+struct quota_granted {
+  std::string node;
+  wire::quota_grant grant;
+};
+
+/// A request for tokens was not sent, since the node cannot be reached.
+struct quota_undeliverable {
+  std::string node;
+  wire::quota_request request;
+};
+
 /// A connection for shard requests to another node ended or could not be opened.
 struct peer_lost {
   std::string node;
@@ -223,14 +255,13 @@
 struct tick {};
 
 /// Any event.
-using event =
-    std::variant<request_arrived, caller_disconnected, connection_opened,
-                 connection_failed, connection_lost, leaf_answered, topic_listed,
-                 topic_changed, store_call_failed, nodes_counted, node_count_failed,
-                 node_record_written, peer_query_received, peer_replied,
-                 shards_requested, shards_replied, shards_cancelled,
-                 shards_undeliverable, peer_lost, settings_changed, store_probed,
-                 stop_requested, tick>;
+using event = std::variant<
+    request_arrived, caller_disconnected, connection_opened, connection_failed,
+    connection_lost, leaf_answered, topic_listed, topic_changed, store_call_failed,
+    nodes_counted, node_count_failed, node_record_written, peer_query_received,
+    peer_replied, shards_requested, shards_replied, shards_cancelled,
+    shards_undeliverable, quota_requested, quota_granted, quota_undeliverable,
+    peer_lost, settings_changed, store_probed, stop_requested, tick>;
 
 /// @return The name of an event's type, for logs.
 const char* event_name(const event& value);
--- a/include/ibis/serving/settings.hpp
+++ b/include/ibis/serving/settings.hpp
@@ -1,9 +1,12 @@
 /// Settings of a node's decisions. Operators can set some of them in the settings file.
 #pragma once
 
-#include <cstddef>  // for size_t
+#include <cstddef>   // for size_t
+#include <optional>  // for optional
 
+#include "ibis/access/authorize.hpp"      // for access_settings
 #include "ibis/base/time.hpp"             // for milliseconds
+#include "ibis/quota/bound.hpp"           // for bound_settings
 #include "ibis/serving/extra_budget.hpp"  // for extra_budget_settings
 
 namespace ibis::serving {
@@ -39,6 +42,9 @@
   /// at most this long ago, or else on a new one: an older connection may have been
   /// lost without notice.
   base::milliseconds max_fresh_idle{2500};
+  /// Whether the leaf is chosen by the expected times of this request and of those that
+  /// it has, instead of by their number.
+  bool by_cost = false;
   /// A leaf that is expected to take a greater share of the remaining time is avoided
   /// while there is another.
   double slow_share = 0.5;
@@ -67,6 +73,8 @@
 
 /// Settings for following the store.
 struct store_settings {
+  /// Whether availability zones can be evacuated. Cannot be changed while a node runs.
+  bool follow_evacuations = false;
   base::milliseconds wait{30000};  ///< How long the store may hold a watch.
   base::milliseconds grace{1500};  ///< Added to `wait` for the timeout of a watch.
   base::milliseconds list_timeout{1500};
@@ -77,6 +85,7 @@
   /// Pauses between a change and the next watch, so that a series of changes arrives in
   /// one call.
   base::milliseconds configuration_pause{400};
+  base::milliseconds evacuation_pause{400};
   base::milliseconds leaf_pause{1000};
   base::milliseconds backoff{150};  ///< Doubled after each consecutive failure.
   base::milliseconds backoff_limit{1000};
@@ -155,7 +164,9 @@
   peer_settings peers;
   holder_settings holders;
   stop_settings stop;
-  extra_budget_settings budget;  ///< For all nodes together.
+  access::access_settings access;
+  std::optional<quota::bound_settings> quota;  ///< Nothing if quotas are off.
+  extra_budget_settings budget;                ///< For all nodes together.
   /// Time that a request and its answer travel between client and node; subtracted from
   /// a route's objective.
   base::milliseconds travel_margin{13};
--- a/include/ibis/serving/state.hpp
+++ b/include/ibis/serving/state.hpp
@@ -9,20 +9,27 @@
 #include <memory>         // for shared_ptr
 #include <optional>       // for optional
 #include <random>         // for minstd_rand
+#include <set>            // for set
 #include <string>         // for string
 #include <unordered_map>  // for unordered_map
 #include <utility>        // for move, pair
 #include <vector>         // for vector
 
-#include "ibis/base/id.hpp"                // for block_call_id, caller_id
-#include "ibis/base/timer_queue.hpp"       // for basic_timer_queue
-#include "ibis/policy/latency_window.hpp"  // for latency_window
-#include "ibis/serving/catalog.hpp"        // for catalog_ptr
-#include "ibis/serving/effect.hpp"         // for effects
-#include "ibis/serving/extra_budget.hpp"   // for extra_budget
-#include "ibis/serving/holders.hpp"        // for holder_table, holder_health
-#include "ibis/serving/leaf_state.hpp"     // for leaf_state, connection_state
-#include "ibis/serving/settings.hpp"       // for node_settings
+#include "ibis/access/request_counts.hpp"     // for request_counts
+#include "ibis/admission/account_counts.hpp"  // for account_counts
+#include "ibis/admission/account_use.hpp"     // for account_use
+#include "ibis/admission/kind_shares.hpp"     // for kind_shares
+#include "ibis/base/id.hpp"                   // for block_call_id, caller_id
+#include "ibis/base/timer_queue.hpp"          // for basic_timer_queue
+#include "ibis/cost/cost_table.hpp"           // for cost_table, request_class
+#include "ibis/policy/latency_window.hpp"     // for latency_window
+#include "ibis/quota/node.hpp"                // for quota::node_state
+#include "ibis/serving/catalog.hpp"           // for catalog_ptr
+#include "ibis/serving/effect.hpp"            // for effects
+#include "ibis/serving/extra_budget.hpp"      // for extra_budget
+#include "ibis/serving/holders.hpp"           // for holder_table, holder_health
+#include "ibis/serving/leaf_state.hpp"        // for leaf_state, connection_state
+#include "ibis/serving/settings.hpp"          // for node_settings
 
 namespace ibis::serving {
 
@@ -62,6 +69,7 @@
   progress_reply,
   holder_silent,   ///< A holder must have replied. Subject: shard call.
   stop_accepting,  ///< Stops taking new requests during a graceful stop.
+  quota,           ///< Calls the quotas' `on_time`.
   stop_check,      ///< Checks whether a graceful stop is complete.
 };
 
@@ -108,6 +116,8 @@
   const serving::route* route = nullptr;
   std::shared_ptr<const serving::route> own_route;  ///< Of another node's request.
   std::optional<remote_caller> remote;  ///< The node that asked, if it was no client.
+  std::string account;         ///< Name of the client account; empty if there is none.
+  std::uint32_t priority = 0;  ///< 0 is the most urgent.
   base::time_point arrived{};
   base::time_point deadline{};  ///< When the client stops waiting.
   /// The earlier of `deadline` and the route's timeout.
@@ -115,9 +125,12 @@
   /// When to answer so that the client gets the answer within the route's objective.
   base::time_point objective_deadline{};
   std::vector<task_state> tasks;
-  std::uint64_t key = 0;  ///< See `request_key`.
+  std::uint64_t key = 0;           ///< See `request_key`.
+  cost::request_class cost_class;  ///< Empty unless leafs are chosen by cost.
+  base::duration expected{0};      ///< What a leaf needs for a task; 0 if unknown.
   /// Typical latency of the route's leaf answers when the request arrived.
   base::duration typical_latency{0};
+  bool latency_measured = false;  ///< `typical_latency` is more than an assumption.
   base::duration hedge_delay{0};  ///< After which an unanswered task is late.
   std::vector<base::block_call_id> shard_calls;  ///< To holders; some may have ended.
   std::size_t parts = 0;          ///< Number of shards that have answered.
@@ -140,12 +153,15 @@
 struct waiting_task {
   base::caller_id caller;
   std::size_t shard = 0;
+  std::string route;  ///< Name of its request's route.
+  base::time_point since{};
 };
 
 /// A service's leafs, queue and budget of extra requests.
 struct service_state {
   std::vector<leaf_ptr> leafs;
   std::deque<waiting_task> waiting;
+  admission::kind_shares kinds;  ///< Outcomes of its tasks, by route.
   extra_budget budget;
   /// Until when this node counts as a holder, since another node has asked it.
   base::time_point held_until{};
@@ -181,6 +197,12 @@
   base::time_point timer_due{};  ///< When its timer fires.
 };
 
+/// The entries of the pages of an incomplete listing.
+struct listed_entries {
+  std::vector<leaf_change> leafs;
+  std::vector<zone_change> zones;
+};
+
 /// How far a node has followed a topic of the store.
 struct topic_state {
   topic_phase phase = topic_phase::listing;
@@ -194,7 +216,7 @@
   base::time_point verified_at{};
   bool paused = false;    ///< It is between two calls, until a timer fires.
   bool checking = false;  ///< The current call checks whether a watch missed changes.
-  std::vector<leaf_change> pages;  ///< Entries of an incomplete listing.
+  listed_entries pages;   ///< Of a listing in progress.
   /// Oldest revision of the pages of an incomplete listing.
   std::optional<std::uint64_t> listing_revision;
   base::time_point listing_started_at{};
@@ -253,6 +275,9 @@
   std::uint64_t leaf_backoffs = 0;
   std::uint64_t leaf_retry_after_bounded = 0;  ///< Times that were too long.
   std::uint64_t leaf_retry_after_ignored = 0;  ///< Values that state no time.
+  std::uint64_t leaf_loads_ignored = 0;        ///< Load reports with invalid values.
+  std::uint64_t hedges_postponed = 0;  ///< Since the attempt is expected to end soon.
+  std::uint64_t costs_exceeded = 0;    ///< Answers far later than expected.
   std::uint64_t store_calls = 0;
   std::uint64_t store_failures = 0;
   std::uint64_t watch_checks = 0;  ///< Watches that were behind the store's revision.
@@ -262,7 +287,12 @@
   std::uint64_t shard_calls = 0;           ///< Requests for shards to holders.
   std::uint64_t shard_calls_repeated = 0;  ///< Of them, after a holder was lost.
   std::uint64_t holders_silent = 0;
-  std::uint64_t shards_served = 0;  ///< Requests for shards from other nodes.
+  std::uint64_t shards_served = 0;   ///< Requests for shards from other nodes.
+  std::uint64_t unknown_keys = 0;    ///< Requests refused for their access key.
+  std::uint64_t outdated_views = 0;  ///< Requests refused since the view is too old.
+  access::request_counts accounts;   ///< Clients' requests that were not refused so.
+  std::uint64_t waits_given_up = 0;  ///< Tasks that waited until it was too late.
+  admission::account_counts refused_for_time;  ///< Requests, by account.
 };
 
 /// Number of nodes assumed until they are counted. It is high, so that a new node
@@ -284,7 +314,11 @@
   std::unordered_map<base::connection_id, connection_state> connections;
   std::unordered_map<base::caller_id, pending_request> pending_requests;
   std::unordered_map<std::string, route_statistics> statistics;  ///< By route name.
+  cost::cost_table costs;
+  base::time_point next_cost_log_at{};  ///< See `log_exceeded_cost`.
+  admission::account_use account_use;   ///< Of leafs, for requests of this node.
   std::array<topic_state, store_topic_count> topics;
+  std::set<std::string> evacuated_zones;  ///< As the store says.
   base::time_point store_unavailable_since{};
   base::time_point store_recovered_at{};  ///< Unset if it was never unavailable.
   bool store_unavailable = false;
@@ -299,6 +333,10 @@
   std::unordered_map<base::block_call_id, shard_call> shard_calls;
   /// Requests of other nodes, by the node's name and its call.
   std::map<std::pair<std::string, base::block_call_id>, base::caller_id> remote_callers;
+  quota::node_state quota;          ///< Of limited accounts.
+  catalog_ptr quota_configuration;  ///< Whose limits `quota` has.
+  /// Requests that wait for a token of their account.
+  std::unordered_map<base::caller_id, pending_request> quota_waiting;
   node_records_state records;
   stop_state stop;
   base::basic_timer_queue<timer_kind> timers;
--- a/src/ibis/reactor/node_metrics.cpp
+++ b/src/ibis/reactor/node_metrics.cpp
@@ -2,11 +2,19 @@
 
 #include <sys/resource.h>  // for getrusage
 
-#include <algorithm>  // for count_if
+#include <algorithm>  // for count_if, max, min, sort
 #include <array>      // for array
+#include <cmath>      // for sqrt
+#include <iterator>   // for next
+#include <map>        // for map
 #include <sstream>    // for ostringstream
+#include <tuple>      // for tie
+#include <utility>    // for pair
+#include <vector>     // for vector
 
-#include "ibis/serving/leaf_backoff.hpp"  // for backs_off
+#include "ibis/admission/account_counts.hpp"  // for account_counts
+#include "ibis/serving/leaf_backoff.hpp"      // for backs_off
+#include "ibis/serving/topic_calls.hpp"       // for followed_topics, name_of
 
 namespace ibis::reactor {
 namespace {
@@ -38,12 +46,11 @@
 
 void write_view_ages(std::ostringstream& out, const serving::node_state& node,
                      base::time_point now) {
-  constexpr std::array<const char*, serving::store_topic_count> names{"configuration",
-                                                                      "leafs"};
   out << "# TYPE ibis_store_view_age_ms gauge\n";
-  for (std::size_t topic = 0; topic < names.size(); ++topic) {
-    out << "ibis_store_view_age_ms{topic=\"" << names[topic] << "\"} "
-        << base::to_ms(now - node.topics[topic].verified_at) << '\n';
+  for (const serving::store_topic topic : serving::followed_topics(node.settings)) {
+    const serving::topic_state& state = node.topics[static_cast<std::size_t>(topic)];
+    out << "ibis_store_view_age_ms{topic=\"" << serving::name_of(topic) << "\"} "
+        << base::to_ms(now - state.verified_at) << '\n';
   }
 }
 
@@ -85,17 +92,90 @@
   write_gauge(out, "longest_turn_processor_ms", turns.lengths().max_ms());
 }
 
-/// Writes how many leafs have said that they leave, and how many back off.
+using account_values = std::map<std::string, std::uint64_t, std::less<>>;
+
+void write_by_account(std::ostringstream& out, const std::string& name,
+                      const char* type, const account_values& values) {
+  out << "# TYPE ibis_" << name << ' ' << type << '\n';
+  for (const auto& [account, value] : values) {
+    out << "ibis_" << name << "{account=\"" << escape_label(account) << "\"} " << value
+        << '\n';
+  }
+}
+
+/// Writes the tasks that wait for a leaf, and for how long the first of them waits.
+void write_waiting(std::ostringstream& out, const serving::node_state& node,
+                   base::time_point now) {
+  admission::account_counts waiting;
+  base::duration longest{0};
+  for (const auto& [name, service] : node.services) {
+    for (const serving::waiting_task& task : service.waiting) {
+      const auto found = node.pending_requests.find(task.caller);
+      if (found == node.pending_requests.end() ||
+          !found->second.tasks[task.shard].waiting) {
+        continue;
+      }
+      waiting.add(found->second.account);
+      longest = std::max(longest, now - task.since);
+    }
+  }
+  write_by_account(out, "waiting_tasks", "gauge", waiting.values());
+  write_gauge(out, "longest_wait_ms", base::to_ms(longest));
+}
+
+/// Writes how many leafs have said that they leave, back off, or are evacuated.
 void write_leaf_states(std::ostringstream& out, const serving::node_state& node,
                        base::time_point now) {
   double leaving = 0;
   double backing_off = 0;
+  double evacuated = 0;
   for (const auto& [id, leaf] : node.leafs) {
     leaving += leaf->leaving ? 1 : 0;
     backing_off += serving::backs_off(*leaf, now) ? 1 : 0;
+    evacuated += leaf->evacuated ? 1 : 0;
   }
   write_gauge(out, "leafs_leaving", leaving);
   write_gauge(out, "leafs_backing_off", backing_off);
+  write_gauge(out, "leafs_evacuated", evacuated);
+  write_gauge(out, "zones_evacuated", static_cast<double>(node.evacuated_zones.size()));
+}
+
+/// Writes what requests were expected to need and what they took, for the classes with
+/// the most answers. Classes of accounts are left out.
+void write_costs(std::ostringstream& out, const cost::cost_table& costs) {
+  constexpr std::size_t max_classes = 64;
+  std::vector<const cost::cost_class*> classes;
+  for (const auto& [id, known] : costs.classes()) {
+    if (known.key.account.empty() && known.weight > 0) {
+      classes.push_back(&known);
+    }
+  }
+  std::sort(
+      classes.begin(), classes.end(),
+      [](const cost::cost_class* first, const cost::cost_class* second) {
+        return std::tie(second->answers, first->key.route, first->key.size_bucket) <
+               std::tie(first->answers, second->key.route, second->key.size_bucket);
+      });
+  classes.resize(std::min(classes.size(), max_classes));
+  const auto write = [&](const char* name, const char* type, const auto& value_of) {
+    if (!classes.empty()) {
+      out << "# TYPE ibis_request_cost_" << name << ' ' << type << '\n';
+    }
+    for (const cost::cost_class* known : classes) {
+      out << "ibis_request_cost_" << name << "{route=\""
+          << escape_label(known->key.route) << "\",size=\""
+          << static_cast<unsigned>(known->key.size_bucket) << "\"} " << value_of(*known)
+          << '\n';
+    }
+  };
+  write("mean_ms", "gauge", [](const auto& known) { return known.mean_ms; });
+  write("spread_ms", "gauge",
+        [](const auto& known) { return std::sqrt(known.variance); });
+  write("expected_ms_total", "counter",
+        [](const auto& known) { return known.expected_ms_sum; });
+  write("actual_ms_total", "counter",
+        [](const auto& known) { return known.actual_ms_sum; });
+  write("answers_total", "counter", [](const auto& known) { return known.answers; });
 }
 
 void write_counters(std::ostringstream& out, const serving::node_counters& count) {
@@ -109,6 +189,9 @@
   write_counter(out, "leaf_backoffs", count.leaf_backoffs);
   write_counter(out, "leaf_retry_after_bounded", count.leaf_retry_after_bounded);
   write_counter(out, "leaf_retry_after_ignored", count.leaf_retry_after_ignored);
+  write_counter(out, "leaf_loads_ignored", count.leaf_loads_ignored);
+  write_counter(out, "leaf_hedges_postponed", count.hedges_postponed);
+  write_counter(out, "request_costs_exceeded", count.costs_exceeded);
   write_counter(out, "leaf_address_reuses", count.instance_mismatches);
   write_counter(out, "leaf_connections_opened", count.connections_opened);
   write_counter(out, "leaf_connections_failed", count.connections_failed);
@@ -123,6 +206,57 @@
   write_counter(out, "holder_requests_repeated", count.shard_calls_repeated);
   write_counter(out, "holders_silent", count.holders_silent);
   write_counter(out, "holder_requests_served", count.shards_served);
+  write_counter(out, "requests_unknown_key", count.unknown_keys);
+  write_counter(out, "requests_outdated_view", count.outdated_views);
+  write_counter(out, "waiting_tasks_given_up", count.waits_given_up);
+  write_by_account(out, "requests_refused_for_time_total", "counter",
+                   count.refused_for_time.values());
+}
+
+/// Writes the number of requests of each account. Nothing without accounts.
+void write_accounts(std::ostringstream& out, const access::request_counts& accounts) {
+  if (accounts.by_name().empty()) {
+    return;
+  }
+  out << "# TYPE ibis_account_requests_total counter\n";
+  for (const auto& [name, count] : accounts.by_name()) {
+    out << "ibis_account_requests_total{account=\"" << escape_label(name) << "\"} "
+        << count << '\n';
+  }
+  write_counter(out, "account_requests_others", accounts.others());
+}
+
+/// Writes the counters of limited accounts. Accounts beyond a number are left out, so
+/// that the page stays small.
+void write_quotas(std::ostringstream& out, const serving::node_state& node) {
+  using counter = std::uint64_t quota::account_counters::*;
+  constexpr std::size_t max_accounts = 200;
+  constexpr std::array<std::pair<const char*, counter>, 4> counters{{
+      {"quota_admitted", &quota::account_counters::admitted},
+      {"quota_admitted_locally", &quota::account_counters::admitted_locally},
+      {"quota_refused", &quota::account_counters::refused},
+      {"quota_undecided", &quota::account_counters::undecided},
+  }};
+  if (node.quota.accounts.empty()) {
+    return;
+  }
+  std::map<std::string, const quota::account_state*> accounts;
+  double owned = 0;
+  for (const auto& [name, state] : node.quota.accounts) {
+    accounts.emplace(name, &state);
+    owned += state.owner.is_first ? 1 : 0;
+  }
+  if (accounts.size() > max_accounts) {
+    accounts.erase(std::next(accounts.begin(), max_accounts), accounts.end());
+  }
+  write_gauge(out, "quota_accounts_owned", owned);
+  for (const auto& [counter_name, member] : counters) {
+    out << "# TYPE ibis_" << counter_name << "_total counter\n";
+    for (const auto& [name, state] : accounts) {
+      out << "ibis_" << counter_name << "_total{account=\"" << escape_label(name)
+          << "\"} " << state->count.*member << '\n';
+    }
+  }
 }
 
 void write_process(std::ostringstream& out) {
@@ -160,10 +294,12 @@
         << metrics.outcomes[i] << '\n';
   }
   write_counters(out, node.count);
+  write_accounts(out, node.count.accounts);
   write_gauge(out, "requests_in_flight",
               static_cast<double>(node.pending_requests.size()));
   write_gauge(out, "leafs", static_cast<double>(node.leafs.size()));
   write_leaf_states(out, node, now);
+  write_waiting(out, node, now);
   write_gauge(out, "leaf_connections", static_cast<double>(node.connections.size()));
   write_gauge(out, "nodes", static_cast<double>(node.nodes));
   const double version =
@@ -173,6 +309,9 @@
   write_view_ages(out, node, now);
   write_gauge(out, "shard_blocks", static_cast<double>(node.holders.blocks.size()));
   write_gauge(out, "shard_blocks_held", static_cast<double>(count_held_blocks(node)));
+  write_gauge(out, "request_cost_trust", node.costs.trust());
+  write_costs(out, node.costs);
+  write_quotas(out, node);
   write_process(out);
   write_turns(out, turns);
   write_latencies(out, metrics);
--- a/src/ibis/reactor/process_settings.cpp
+++ b/src/ibis/reactor/process_settings.cpp
@@ -32,6 +32,23 @@
   budget.report_unknown_keys();
 }
 
+/// Reads the bound of requests beyond the accounts' limits. Without the section, no
+/// limits are enforced.
+void read_quota(config::reader& root, serving::node_settings& value) {
+  if (!root.has("quota")) {
+    return;
+  }
+  quota::bound_settings bound;
+  double window_s = base::to_ms(bound.window) / 1000.0;
+  config::reader section = root.child("quota");
+  section.read("window_s", window_s, 0.1, 3600.0);
+  section.read("overage", bound.overage, 0.0, 10.0);
+  section.read("slack", bound.slack, 0.0, max_slack);
+  section.report_unknown_keys();
+  bound.window = milliseconds(static_cast<milliseconds::rep>(window_s * 1000));
+  value.quota = bound;
+}
+
 /// Derives the timing of a shutdown from the platform's grace period. It ends before
 /// the period does, since the process must exit before the platform kills it.
 void read_stop(config::reader& root, serving::node_settings& value) {
@@ -57,7 +74,8 @@
   value.peers.watchers = watchers;
 }
 
-/// Reads how soon changes in the store must be applied.
+/// Reads how soon changes in the store must be applied. Evacuations are followed only
+/// if their limit is stated.
 void read_propagation(config::reader& root, serving::node_settings& value) {
   constexpr milliseconds default_limit{3000};
   const milliseconds shortest = serving::shortest_propagation_limit(value);
@@ -66,8 +84,21 @@
   config::reader propagation = root.child("propagation");
   propagation.read("configuration_ms", configuration, shortest, max_margin);
   propagation.read("leafs_ms", leafs, shortest, max_margin);
+  milliseconds evacuations = std::min(configuration, leafs);
+  value.store.follow_evacuations = propagation.has("evacuations_ms");
+  propagation.read("evacuations_ms", evacuations, shortest, max_margin);
   propagation.report_unknown_keys();
-  serving::fit_propagation(value, std::min(configuration, leafs));
+  serving::fit_propagation(value, std::min({configuration, leafs, evacuations}));
+  value.access.view_limit = configuration;
+}
+
+/// Reads whether and how soon removed access keys must be refused without the store.
+void read_access(config::reader& root, serving::node_settings& value) {
+  config::reader access = root.child("access");
+  access.read("strict_revocation", value.access.strict_revocation);
+  access.read("revocation_ms", value.access.revocation_limit, milliseconds(1),
+              max_margin);
+  access.report_unknown_keys();
 }
 
 void read_holders(config::reader& root, serving::node_settings& value) {
@@ -96,6 +127,12 @@
   hedge.report_unknown_keys();
 }
 
+void read_leaf_choice(config::reader& root, serving::node_settings& value) {
+  config::reader choice = root.child("leaf_choice");
+  choice.read("by_cost", value.leafs.by_cost);
+  choice.report_unknown_keys();
+}
+
 void read_log(config::reader& root, process_settings& value) {
   config::reader log = root.child("log");
   log.read("requests", value.log.log_requests);
@@ -117,10 +154,13 @@
   root.read("first_start", value.serving.first_start);
   read_listen(root, value);
   read_budget(root, value.serving);
+  read_quota(root, value.serving);
   read_stop(root, value.serving);
   read_hedging(root, value.serving);
+  read_leaf_choice(root, value.serving);
   read_peers(root, value.serving);
   read_propagation(root, value.serving);
+  read_access(root, value.serving);
   read_holders(root, value.serving);
   root.read("travel_margin_ms", value.serving.travel_margin, milliseconds(0),
             max_margin);
--- a/src/ibis/reactor/process_settings_test.cpp
+++ b/src/ibis/reactor/process_settings_test.cpp
@@ -16,6 +16,7 @@
   readiness: "10.0.0.1:8108"
   metrics: "10.0.0.1:7380"
   peers: "10.0.0.1:7381"
+leaf_choice: {by_cost: true}
 extra_requests:
   ratio: 0.2
   slack: 52
@@ -34,6 +35,9 @@
   leafs_ms: 3000
 hedging:
   quantile: 0.93
+access:
+  strict_revocation: true
+  revocation_ms: 4000
 log:
   requests: false
   lines_per_s: 100
@@ -80,11 +84,38 @@
   CHECK(parsed.value.serving.holders.min_own_connections == 6);
   CHECK(parsed.value.serving.holders.block_shards == 20);
   CHECK(parsed.value.serving.holders.per_zone == 3);
+  CHECK(parsed.value.serving.leafs.by_cost);
+  CHECK_FALSE(serving::node_settings().leafs.by_cost);
   CHECK(parsed.value.serving.first_start);
   CHECK(parsed.value.serving.store.probe_period == base::milliseconds(1000));
+  CHECK(parsed.value.serving.access.view_limit == base::milliseconds(5000));
+  CHECK(parsed.value.serving.access.strict_revocation);
+  CHECK(parsed.value.serving.access.revocation_limit == base::milliseconds(4000));
   CHECK_FALSE(parsed.value.log.log_requests);
 }
 
+// Guards against a node that waits for a list of evacuations that its platform does not
+// have, and against one that checks its watches too seldom for the shortest limit.
+TEST_CASE("Evacuations are followed only if their limit is stated, and within it") {
+  const auto parse = [](const std::string& limit) {
+    std::string text = valid_settings;
+    text.replace(text.find("  leafs_ms: 3000\n"), 17, limit);
+    const auto source = config::parse_document(text, "node.yaml");
+    REQUIRE(source);
+    const auto parsed = parse_process_settings(source.value());
+    CHECK(parsed.errors.empty());
+    return parsed.value.serving.store;
+  };
+  CHECK_FALSE(parse("  leafs_ms: 3000\n").follow_evacuations);
+  const auto slower = parse("  leafs_ms: 3000\n  evacuations_ms: 6000\n");
+  CHECK(slower.follow_evacuations);
+  CHECK(slower.probe_period == base::milliseconds(1000));
+  const auto faster = parse("  leafs_ms: 3000\n  evacuations_ms: 2700\n");
+  CHECK(faster.probe_period == base::milliseconds(900));
+  // Without the default of leafs, 3000 ms, the limit of evacuations would count.
+  CHECK(parse("  evacuations_ms: 5000\n").probe_period == base::milliseconds(1000));
+}
+
 TEST_CASE("Each invalid or missing setting is reported as an error") {
   CHECK(count_errors("node: a") == 4);
   CHECK(count_errors(valid_settings + "surprise: 1\n") == 1);
@@ -96,6 +127,14 @@
   std::string short_limit = valid_settings;
   short_limit.replace(short_limit.find("leafs_ms: 3000"), 14, "leafs_ms: 2000");
   CHECK(count_errors(short_limit) == 1);
+  CHECK(count_errors(valid_settings + "hedging: {by_cost: true}\n") == 1);
+  std::string odd_choice = valid_settings;
+  odd_choice.replace(odd_choice.find("by_cost: true"), 13, "by_cost: 7");
+  CHECK(count_errors(odd_choice) == 1);
+  std::string short_evacuations = valid_settings;
+  short_evacuations.replace(short_evacuations.find("leafs_ms: 3000"), 14,
+                            "evacuations_ms: 2000");
+  CHECK(count_errors(short_evacuations) == 1);
   CHECK(count_errors("[1, 2]") >= 1);
   CHECK(count_errors("") >= 1);
 }
@@ -111,4 +150,19 @@
 }
 
 }  // namespace
+
+// Guards against limits that are enforced in a deployment without bounds for them, and
+// against bounds that are not read.
+TEST_CASE("Quotas are on only if the settings have their section") {
+  const auto parse = [](const std::string& text) {
+    return parse_process_settings(config::parse_document(text, "s.yaml").value());
+  };
+  CHECK_FALSE(parse(valid_settings).value.serving.quota);
+  const auto parsed =
+      parse(valid_settings + "quota:\n  window_s: 2.5\n  overage: 0.2\n  slack: 7\n");
+  CHECK(parsed.errors.empty());
+  REQUIRE(parsed.value.serving.quota);
+  CHECK(*parsed.value.serving.quota ==
+        quota::bound_settings{base::milliseconds(2500), 0.2, 7});
+}
 }  // namespace ibis::reactor
--- a/src/ibis/serving/attempt.cpp
+++ b/src/ibis/serving/attempt.cpp
@@ -32,7 +32,8 @@
 void enqueue_task(pending_request& pending, std::size_t shard, context& ctx) {
   task_state& task = pending.tasks[shard];
   task.waiting = true;
-  ctx.node.services[task.service].waiting.push_back({pending.caller, shard});
+  ctx.node.services[task.service].waiting.push_back(
+      {pending.caller, shard, pending.route->name, ctx.now});
 }
 
 void answer_single_if_ready(pending_request& pending, context& ctx) {
@@ -72,8 +73,12 @@
   const bool late = ctx.now >= pending.objective_deadline;
   const base::time_point useful_until =
       late ? pending.effective_deadline : pending.objective_deadline;
-  return {pending.key, pending.route->max_leafs, is_hedge, pending.typical_latency,
-          useful_until - ctx.now};
+  return {pending.key,
+          pending.route->max_leafs,
+          is_hedge,
+          pending.typical_latency,
+          useful_until - ctx.now,
+          pending.expected};
 }
 
 void send(pending_request& pending, std::size_t shard, base::connection_id id,
@@ -84,7 +89,7 @@
       pending.effective_deadline + ctx.node.settings.leafs.late_answer_grace;
   mark_busy(id,
             {pending.caller, shard, pending.key, late_answer_limit,
-             pending.typical_latency, late_after},
+             pending.typical_latency, late_after, pending.cost_class, pending.expected},
             ctx);
   const connection_state& connection = ctx.node.connections.at(id);
   const leaf_state& leaf = *connection.leaf;
@@ -93,11 +98,16 @@
     task.tried_leafs.push_back(leaf.key);
   }
   task.active_connections.push_back(id);
+  ctx.node.account_use.charge(pending.account, pending.typical_latency, ctx.now);
+  if (task.sent == 0) {
+    ctx.node.services[task.service].kinds.count_started(pending.route->name, ctx.now);
+  }
   ++task.sent;
   ++ctx.node.count.sends;
   const auto remaining = std::chrono::duration_cast<base::milliseconds>(
       pending.effective_deadline - ctx.now);
-  ctx.out.emplace_back(send_to_leaf{id, pending.request, leaf.record.id, remaining});
+  ctx.out.emplace_back(
+      send_to_leaf{id, pending.request, leaf.record.id, remaining, pending.account});
   ctx.add_timer(ctx.now + late_after, timer_kind::hedge, pending.caller.value, shard);
   ctx.add_timer(late_answer_limit, timer_kind::late_answer_limit, id.value,
                 connection.serial);
--- a/src/ibis/serving/leaf_state.cpp
+++ b/src/ibis/serving/leaf_state.cpp
@@ -44,8 +44,8 @@
 }
 
 bool takes_new_work(const leaf_state& leaf) {
-  return !leaf.record.draining && !leaf.leaving && !leaf.instance_mismatch &&
-         leaf.registration != leaf_registration::removed;
+  return !leaf.record.draining && !leaf.leaving && !leaf.evacuated &&
+         !leaf.instance_mismatch && leaf.registration != leaf_registration::removed;
 }
 
 double current_slowness(const leaf_state& leaf, base::time_point now,
@@ -88,7 +88,13 @@
                      const leaf_settings& settings) {
   const double slots = std::max(1U, leaf.record.slots);
   const double queue = queue_cost * static_cast<double>(leaf.running.size()) / slots;
-  double cost = current_slowness(leaf, now, settings) * (1.0 + queue);
+  return expected_cost(leaf, current_slowness(leaf, now, settings) * (1.0 + queue),
+                       same_zone, now, settings);
+}
+
+double expected_cost(const leaf_state& leaf, double load_cost, bool same_zone,
+                     base::time_point now, const leaf_settings& settings) {
+  double cost = load_cost;
   cost += failure_cost * current_failure_rate(leaf, now, settings);
   cost += same_zone ? 0.0 : other_zone_cost;
   cost += is_suspect(leaf, now) ? suspect_cost : 0.0;
--- a/src/ibis/serving/node.cpp
+++ b/src/ibis/serving/node.cpp
@@ -4,8 +4,10 @@
 #include <variant>   // for visit
 #include <vector>    // for vector
 
+#include "ibis/serving/account_quota.hpp"       // for on_quota_requested
 #include "ibis/serving/attempt.hpp"             // for find_pending_request
 #include "ibis/serving/connections.hpp"         // for maintain_connections
+#include "ibis/serving/evacuations.hpp"         // for knows_evacuations
 #include "ibis/serving/holders.hpp"             // for update_holders
 #include "ibis/serving/leaf_events.hpp"         // for on_leaf_answered
 #include "ibis/serving/node_records.hpp"        // for on_nodes_counted
@@ -49,6 +51,7 @@
 
 void finish_stop(context& ctx) {
   ctx.node.stop.finished = true;
+  reject_quota_requests(ctx);
   const std::size_t unfinished = answer_unfinished_requests(ctx);
   ctx.log("stopped", {{"unfinished", std::to_string(unfinished)}}, unfinished > 0);
   ctx.out.emplace_back(finish_process{ctx.node.pending_requests.size()});
@@ -66,6 +69,7 @@
   ctx.add_timer(ctx.now + ctx.node.settings.stop.accept_for,
                 timer_kind::stop_accepting);
   reply_to_waiting_peers(ctx);
+  resign_accounts(ctx);
 }
 
 void on_stop_accepting(context& ctx) {
@@ -80,7 +84,8 @@
   const stop_settings& settings = ctx.node.settings.stop;
   const bool limit_reached = ctx.now - ctx.node.stop.requested_at >= settings.limit;
   const bool linger_over = ctx.now - ctx.node.stop.accept_ended_at >= settings.linger;
-  if ((ctx.node.pending_requests.empty() && linger_over) || limit_reached) {
+  const bool idle = ctx.node.pending_requests.empty() && ctx.node.quota_waiting.empty();
+  if ((idle && linger_over) || limit_reached) {
     finish_stop(ctx);
     return;
   }
@@ -93,6 +98,17 @@
   cancel_requests_of(name, ctx);
 }
 
+/// Replaces the settings. Which topics are followed stays the same until a restart.
+void change_settings(const node_settings& settings, context& ctx) {
+  const bool follow_evacuations = ctx.node.settings.store.follow_evacuations;
+  ctx.node.settings = settings;
+  ctx.node.settings.store.follow_evacuations = follow_evacuations;
+  if (settings.store.follow_evacuations != follow_evacuations) {
+    ctx.log("evacuations_need_restart",
+            {{"followed", follow_evacuations ? "true" : "false"}}, true);
+  }
+}
+
 void on_maintenance(context& ctx) {
   if (ctx.node.holders_outdated) {
     ctx.node.holders_outdated = false;
@@ -134,6 +150,9 @@
     case timer_kind::holder_silent:
       on_holder_silent({due.subject}, ctx);
       break;
+    case timer_kind::quota:
+      on_quota_due(ctx);
+      break;
     case timer_kind::stop_accepting:
       on_stop_accepting(ctx);
       break;
@@ -188,10 +207,17 @@
   void operator()(const shards_undeliverable& event) const {
     on_shards_undeliverable(event, ctx);
   }
+  void operator()(const quota_requested& event) const {
+    on_quota_requested(event, ctx);
+  }
+  void operator()(const quota_granted& event) const { on_quota_granted(event, ctx); }
+  void operator()(const quota_undeliverable& event) const {
+    on_quota_undeliverable(event, ctx);
+  }
   void operator()(const peer_lost& event) const { on_peer_lost(event.node, ctx); }
   void operator()(const store_probed& event) const { on_store_probed(event, ctx); }
   void operator()(const settings_changed& event) const {
-    ctx.node.settings = event.settings;
+    change_settings(event.settings, ctx);
   }
   void operator()(const stop_requested& /*event*/) const { on_stop_requested(ctx); }
   void operator()(const tick& /*event*/) const {
@@ -256,6 +282,9 @@
   if (!node.configuration) {
     return {false, "no configuration"};
   }
+  if (!knows_evacuations(node)) {
+    return {false, "no evacuations listed"};
+  }
   if (!has_routing_data(node)) {
     return {false, "no leafs listed"};
   }
--- a/src/ibis/serving/shard_requests.cpp
+++ b/src/ibis/serving/shard_requests.cpp
@@ -5,9 +5,10 @@
 #include <memory>     // for make_shared
 #include <utility>    // for move
 
-#include "ibis/serving/attempt.hpp"   // for dispatch, give_up_task, answer_if_ready
-#include "ibis/serving/holders.hpp"   // for choose_holder, find_block
-#include "ibis/serving/registry.hpp"  // for on_leaving_reported
+#include "ibis/serving/attempt.hpp"      // for dispatch, give_up_task, answer_if_ready
+#include "ibis/serving/evacuations.hpp"  // for has_only_evacuated_leafs
+#include "ibis/serving/holders.hpp"      // for choose_holder, find_block
+#include "ibis/serving/registry.hpp"     // for on_leaving_reported
 
 namespace ibis::serving {
 namespace {
@@ -53,12 +54,13 @@
   value.top = static_cast<std::uint32_t>(pending.route->top);
   value.min_shard_share = pending.route->min_shard_share;
   value.max_leafs = pending.route->max_leafs;
-  value.priority = pending.route->priority;
+  value.priority = pending.priority;
   value.objective = pending.route->objective;
   value.progress = progress_delay(pending, ctx);
   value.reply = to_us(pending.objective_deadline - ctx.now - margin);
   value.remaining = to_us(pending.effective_deadline - ctx.now - margin);
   value.sent_before = state.sent_before;
+  value.account = pending.account;
   return value;
 }
 
@@ -274,7 +276,10 @@
   std::map<std::size_t, task_list> by_block;
   for (std::size_t task = 0; task < pending.tasks.size(); ++task) {
     const auto found = ctx.node.holders.block_of.find(pending.tasks[task].service);
-    if (found == ctx.node.holders.block_of.end()) {
+    // No holder can query a shard whose leafs are all evacuated. Asking would only
+    // delay the answer.
+    if (found == ctx.node.holders.block_of.end() ||
+        has_only_evacuated_leafs(ctx.node, pending.tasks[task].service)) {
       own.push_back(task);
     } else {
       by_block[found->second].push_back(task);
--- a/standins/holder_fleet.hpp
+++ b/standins/holder_fleet.hpp
@@ -55,6 +55,8 @@
                 const std::string& zone);
   /// Removes a leaf's record at all nodes.
   void remove_leaf(const std::string& id);
+  /// Tells all nodes that an availability zone is evacuated.
+  void evacuate(const std::string& zone);
   void configure(serving::catalog catalog);
   /// Starts all nodes with the configuration, all leafs and the list of nodes, and runs
   /// them for some seconds, so that they warm up.
@@ -85,6 +87,12 @@
   std::vector<leaf_arrival> arrivals;
   std::vector<client_answer> answers;
   std::size_t peer_messages = 0;  ///< Requests and replies for shards, delivered.
+  /// Is called with each request of a client before a node gets it.
+  std::function<void(serving::inbound_request&)> prepare_request =
+      [](serving::inbound_request&) {};
+  /// Is called with each effect of a node, by its name, before it is carried out.
+  std::function<void(const std::string&, const serving::effect&)> observe_effect =
+      [](const std::string&, const serving::effect&) {};
 
  private:
   struct leaf_connection {
--- a/standins/serving_fleet.cpp
+++ b/standins/serving_fleet.cpp
@@ -1,6 +1,7 @@
 #include "serving_fleet.hpp"
 
-#include <utility>  // for move
+#include <algorithm>  // for max, min_element
+#include <utility>    // for move
 
 namespace ibis::standins {
 namespace {
@@ -14,6 +15,17 @@
 constexpr unsigned status_refused = 503;
 constexpr unsigned status_misdirected = 421;
 
+/// @return What a leaf reports with an answer that it sends at a time.
+cost::load_report report_load(const fleet_leaf& leaf, base::time_point at) {
+  std::uint32_t running = 0;
+  std::uint32_t waiting = 0;
+  for (const auto& [begin, end] : leaf.schedule) {
+    running += begin <= at && at < end ? 1 : 0;
+    waiting += begin > at ? 1 : 0;
+  }
+  return {running, waiting, leaf.record.slots, leaf.pace};
+}
+
 }  // namespace
 
 serving_fleet::serving_fleet(std::uint64_t seed, const serving::node_settings& settings)
@@ -61,11 +73,28 @@
 void serving_fleet::set_store(store_mode mode) {
   store_mode_ = mode;
   for (const auto topic :
-       {serving::store_topic::configuration, serving::store_topic::leafs}) {
+       {serving::store_topic::configuration, serving::store_topic::leafs,
+        serving::store_topic::evacuations}) {
     notify_watch(topic);
   }
 }
 
+void serving_fleet::evacuate(const std::string& zone) {
+  evacuations_[zone] = {++revision_, true};
+  notify_watch(serving::store_topic::evacuations);
+}
+
+void serving_fleet::end_evacuation(const std::string& zone) {
+  evacuations_[zone] = {++revision_, false};
+  notify_watch(serving::store_topic::evacuations);
+}
+
+void serving_fleet::silence_watches() {
+  for (auto& [topic, call] : calls_) {
+    call.silenced = !call.listing;
+  }
+}
+
 void serving_fleet::drop_history() {
   oldest_revision_ = ++revision_;
   for (auto& [topic, call] : calls_) {
@@ -99,6 +128,11 @@
   return caller;
 }
 
+void serving_fleet::ask_for_shards(const std::string& from,
+                                   const wire::shards_request& request) {
+  deliver_event(serving::shards_requested{from, request, {}});
+}
+
 void serving_fleet::disconnect_caller(base::caller_id caller) {
   deliver_event(serving::caller_disconnected{caller});
 }
@@ -252,7 +286,8 @@
   base::duration delay = 2 * one_way_delay;
   if (runs) {
     const base::time_point starts_at = std::max(now_, leaf.paused_until);
-    delay += (starts_at - now_) + leaf.service_time(random_);
+    delay += leaf.work ? queue_request(leaf, *effect.request, starts_at)
+                       : (starts_at - now_) + leaf.service_time(random_);
   }
   after(delay, [this, effect, connection, reaction, wrong_instance] {
     const auto found = connections_.find(effect.connection);
@@ -278,6 +313,9 @@
       answer->retry_after = leafs.at(connection.leaf).retry_after;
       note_refusal(connection.leaf, *answer);
     }
+    if (leafs.at(connection.leaf).reports_load) {
+      answer->load = report_load(leafs.at(connection.leaf), now_ - one_way_delay);
+    }
     if (!answer->not_executed) {
       answer->signature = connection.leaf + '/' + effect.request->id;
       answer->body = make_records(answer->signature);
@@ -291,6 +329,24 @@
   });
 }
 
+base::duration serving_fleet::queue_request(fleet_leaf& leaf,
+                                            const serving::inbound_request& request,
+                                            base::time_point starts_at) {
+  const base::time_point arrives = now_ + one_way_delay;
+  leaf.slots_free_at.resize(leaf.record.slots);
+  const auto slot =
+      std::min_element(leaf.slots_free_at.begin(), leaf.slots_free_at.end());
+  const base::time_point begin = std::max({arrives, starts_at, *slot});
+  const base::time_point end = begin + std::chrono::duration_cast<base::duration>(
+                                           leaf.work(request, random_) * leaf.pace);
+  *slot = end;
+  std::erase_if(leaf.schedule, [this](const auto& entry) {
+    return entry.second < now_ - 2 * one_way_delay;
+  });
+  leaf.schedule.emplace_back(begin, end);
+  return end - arrives;
+}
+
 void serving_fleet::note_refusal(const std::string& leaf,
                                  const serving::leaf_answer& answer) {
   if (answer.retry_after) {
@@ -329,7 +385,7 @@
 void serving_fleet::on_store_call(serving::store_topic topic, bool listing,
                                   std::uint64_t revision) {
   pending_call& call = calls_[topic];
-  call = {listing, revision, true, call.serial + 1};
+  call = {listing, revision, true, call.serial + 1, false};
   after(one_way_delay, [this, topic, serial = call.serial] {
     if (calls_[topic].serial == serial) {
       answer_store_call(topic);
@@ -343,7 +399,7 @@
     pending_call& call = calls_[topic];
     if (call.active && call.serial == serial && store_mode_ == store_mode::healthy) {
       call.active = false;
-      deliver_event(serving::topic_changed{topic, revision_, {}, nullptr, nullptr});
+      deliver_event(serving::topic_changed{topic, revision_, {}, nullptr, nullptr, {}});
     }
   });
 }
@@ -353,7 +409,7 @@
   if (store_mode_ == store_mode::dropping_calls) {
     call.active = false;
   }
-  if (!call.active || store_mode_ == store_mode::stalled) {
+  if (!call.active || call.silenced || store_mode_ == store_mode::stalled) {
     return;
   }
   if (store_mode_ == store_mode::busy) {
@@ -376,7 +432,7 @@
   serving::event answer =
       call.listing ? make_listing(topic) : make_changes(topic, call.revision);
   const auto* changed = std::get_if<serving::topic_changed>(&answer);
-  if (changed != nullptr && changed->leafs.empty() && !changed->configuration) {
+  if (changed != nullptr && !has_changes(*changed)) {
     return;  // There is no change, so the watch stays pending.
   }
   call.active = false;
@@ -395,6 +451,14 @@
     event.configuration = configuration_;
     return event;
   }
+  if (topic == serving::store_topic::evacuations) {
+    for (const auto& [zone, change] : evacuations_) {
+      if (change.second) {
+        event.zones.push_back({zone, true});
+      }
+    }
+    return event;
+  }
   for (const auto& [id, revision] : registered_) {
     event.leafs.push_back({id, leafs.at(id).record});
   }
@@ -410,6 +474,14 @@
     event.configuration = configuration_revision_ > since ? configuration_ : nullptr;
     return event;
   }
+  if (topic == serving::store_topic::evacuations) {
+    for (const auto& [zone, change] : evacuations_) {
+      if (change.first > since) {
+        event.zones.push_back({zone, change.second});
+      }
+    }
+    return event;
+  }
   for (const auto& [id, revision] : registered_) {
     if (revision > since) {
       event.leafs.push_back({id, leafs.at(id).record});
--- a/standins/serving_fleet.hpp
+++ b/standins/serving_fleet.hpp
@@ -9,6 +9,7 @@
 #include <random>      // for mt19937_64
 #include <set>         // for set
 #include <string>      // for string
+#include <utility>     // for pair
 #include <vector>      // for vector
 
 #include "ibis/serving/node.hpp"  // for node_state
@@ -30,6 +31,14 @@
   serving::leaf_record record;
   std::function<base::duration(std::mt19937_64&)> service_time;
   std::function<leaf_reaction(std::mt19937_64&)> reaction;
+  /// If set, the leaf has as many slots as its record states, and a queue. Returns the
+  /// time for which a request needs a slot; replaces `service_time`.
+  std::function<base::duration(const serving::inbound_request&, std::mt19937_64&)> work;
+  double pace = 1.0;          ///< Factor of the times of `work`.
+  bool reports_load = false;  ///< It adds its load and pace to its answers.
+  std::vector<base::time_point> slots_free_at;
+  /// When the requests in slots and in the queue start and end.
+  std::vector<std::pair<base::time_point, base::time_point>> schedule;
   bool accepts_connections = true;
   bool says_leaving = false;  ///< It says in its answers that it leaves.
   /// If set, it says when it refuses that it wants nothing for that long.
@@ -99,6 +108,12 @@
   void unregister(const std::string& id);
   /// Writes a configuration to the store.
   void configure(serving::catalog catalog);
+  /// Writes an evacuation of an availability zone to the store.
+  void evacuate(const std::string& zone);
+  /// Removes an evacuation from the store.
+  void end_evacuation(const std::string& zone);
+  /// Makes the store report no change on the open watches; new ones get all changes.
+  void silence_watches();
   /// Changes how the store handles calls, including those that wait for an answer.
   void set_store(store_mode mode);
   /// Drops the store's history of changes: open watches are disconnected, and watches
@@ -111,6 +126,8 @@
   /// @param target The path, which selects the route.
   base::caller_id send_request(const std::string& request_id, const std::string& target,
                                std::optional<base::milliseconds> deadline = {});
+  /// Delivers a request for shards from another node. The replies are effects.
+  void ask_for_shards(const std::string& node, const wire::shards_request& request);
   /// Closes the connection of a caller that may still wait for its answer.
   void disconnect_caller(base::caller_id caller);
   /// Changes the settings of the running node.
@@ -153,11 +170,18 @@
     std::uint64_t revision = 0;
     bool active = false;
     std::uint64_t serial = 0;
+    bool silenced = false;  ///< It is told no change.
   };
 
   void after(base::duration delay, std::function<void()> action);
   void deliver_event(const serving::event& event);
   void carry_out(const serving::effects& effects);
+  /// Gives a request the next free slot of a leaf.
+  /// @param starts_at When the leaf's pause ends.
+  /// @return How long after its arrival there it is done.
+  base::duration queue_request(fleet_leaf& leaf,
+                               const serving::inbound_request& request,
+                               base::time_point starts_at);
   void note_refusal(const std::string& leaf, const serving::leaf_answer& answer);
   void on_count(const serving::count_nodes& effect);
   void on_open(const serving::open_connection& effect);
@@ -187,6 +211,8 @@
   std::map<std::string, std::uint64_t> registered_;
   /// Leaf id to revision of its removal.
   std::map<std::string, std::uint64_t> removed_;
+  /// Zone to the revision at which its evacuation began or ended, and which of them.
+  std::map<std::string, std::pair<std::uint64_t, bool>> evacuations_;
   serving::catalog_ptr configuration_;
   std::uint64_t configuration_revision_ = 0;
   std::uint64_t revision_ = 1;
