--- a/include/ibis/quota/node.hpp
+++ b/include/ibis/quota/node.hpp
@@ -58,6 +58,8 @@
   std::uint64_t version = 0;          ///< Of the sender's configuration.
   std::string owner;      ///< Whom to ask instead; empty if the sender decided.
   bool released = false;  ///< The sender does not act as owner any more.
+  /// Requests must wait for tokens for a while, since few are left.
+  bool contended = false;
 };
 
 /// Whether a request of a client is admitted.
@@ -106,11 +108,13 @@
   bool overdue = false;  ///< The next candidate was asked.
   std::size_t hops = 0;  ///< How many candidates were asked before.
   std::size_t redirects = 0;
+  std::uint32_t used_locally = 0;  ///< Reported with it.
 };
 
 /// Counters of an account.
 struct account_counters {
   std::uint64_t admitted = 0;
+  std::uint64_t admitted_early = 0;  ///< Of them, ahead of the owner's answer.
   std::uint64_t admitted_locally = 0;
   std::uint64_t refused = 0;
   std::uint64_t undecided = 0;  ///< Refused since no owner answered in time.
@@ -120,6 +124,7 @@
 struct account_state {
   plan parts;
   rate_limit limit;
+  bound_settings bound;          ///< That `parts` was made with.
   std::uint64_t lowered_in = 0;  ///< Version that last lowered the limit.
   owner_state owner;
   token_reserve reserve;
@@ -128,6 +133,9 @@
   base::time_point none_until{};   ///< The owner has no tokens before.
   base::time_point ahead_after{};  ///< Tokens are not asked for ahead of need before.
   std::uint32_t used_locally = 0;  ///< Not reported to the owner yet.
+  /// Requests that were admitted ahead of the owner's answer, since its last answer.
+  std::uint32_t unconfirmed = 0;
+  base::time_point contended_until{};  ///< Requests wait for tokens until then.
   std::vector<std::string> candidates;
   std::uint64_t ranked_generation = 0;  ///< Of the view that `candidates` is from.
   bool ranked = false;
--- a/include/ibis/serving/state.hpp
+++ b/include/ibis/serving/state.hpp
@@ -337,6 +337,7 @@
   catalog_ptr quota_configuration;  ///< Whose limits `quota` has.
   /// Requests that wait for a token of their account.
   std::unordered_map<base::caller_id, pending_request> quota_waiting;
+  std::set<base::time_point> quota_dues;  ///< For which a timer is running.
   node_records_state records;
   stop_state stop;
   base::basic_timer_queue<timer_kind> timers;
--- a/include/ibis/serving/topic_calls.hpp
+++ b/include/ibis/serving/topic_calls.hpp
@@ -25,9 +25,9 @@
 /// @param after Key after which the page begins; empty for the first page.
 void start_listing(store_topic topic, const std::string& after, context& ctx);
 
-/// Whether the next listing may be a stale copy. The first listing of leafs or of
-/// evacuations may be one, since it costs less and the watch from its revision brings
-/// what is newer.
+/// Whether the next listing may be a stale copy. The first listing of leafs may be one,
+/// since it costs less and the watch from its revision brings what is newer. One of
+/// evacuations may not: until the watch answers, requests could go to evacuated leafs.
 bool may_list_stale(store_topic topic, const topic_state& state);
 
 /// Watches a topic from its revision on, at the store or at a peer.
--- a/include/ibis/wire/messages.hpp
+++ b/include/ibis/wire/messages.hpp
@@ -304,8 +304,9 @@
   base::milliseconds validity{0};     ///< Of the tokens, from when they were asked for.
   base::milliseconds retry_after{0};  ///< When to ask again, if tokens lack.
   std::uint64_t version = 0;          ///< Of the sender's configuration.
-  std::string owner;      ///< The node to ask instead; empty if the sender decided.
-  bool released = false;  ///< The sender does not act as the account's owner any more.
+  std::string owner;       ///< The node to ask instead; empty if the sender decided.
+  bool released = false;   ///< The sender does not act as the account's owner any more.
+  bool contended = false;  ///< Requests must wait for tokens for a while.
   bool operator==(const quota_grant&) const = default;
 };
 
--- a/src/ibis/access/accounts.cpp
+++ b/src/ibis/access/accounts.cpp
@@ -28,8 +28,10 @@
 
 double usable_limit(double value, const std::string& name, const char* problem,
                     const account_warning& warn) {
+  /// Greater limits are errors of their writer, and cannot be reached.
+  constexpr double max_limit = 1e6;
   if (std::isfinite(value) && value >= 0) {
-    return value;
+    return std::min(value, max_limit);
   }
   warn(name, problem);
   return 0;
@@ -38,9 +40,9 @@
 account checked(const account& stated, const account_warning& warn) {
   account value = stated;
   value.rate_per_s = usable_limit(stated.rate_per_s, stated.name,
-                                  "the rate is no rate: there is no limit", warn);
-  value.burst = usable_limit(stated.burst, stated.name,
-                             "the burst is no burst: there is none", warn);
+                                  "invalid rate, no limit is applied", warn);
+  value.burst =
+      usable_limit(stated.burst, stated.name, "invalid burst, none is applied", warn);
   return value;
 }
 
--- a/src/ibis/admission/waiting_order.cpp
+++ b/src/ibis/admission/waiting_order.cpp
@@ -134,7 +134,8 @@
   const rank own = order.rank_of(entry);
   base::duration work{0};
   for (const waiting_entry& other : waiting) {
-    const bool ahead = !(own < order.rank_of(other));
+    // What can no longer end in time is given up when its turn comes.
+    const bool ahead = can_end_in_time(other, now) && !(own < order.rank_of(other));
     work += ahead ? other.expected_cost : base::duration(0);
   }
   const std::chrono::duration<double, base::duration::period> wait = work / slots;
--- a/src/ibis/quota/node.cpp
+++ b/src/ibis/quota/node.cpp
@@ -19,6 +19,12 @@
 constexpr base::milliseconds claim_interval{500};
 /// Pause between requests for tokens ahead of need.
 constexpr base::milliseconds ahead_interval{50};
+/// How long requests of an account wait for tokens after its owner had few left. Longer
+/// than the window of the bound, so that a node admits at most one request in a window
+/// ahead of the owner's answer.
+constexpr base::milliseconds contended_for{10000};
+/// The owner has few tokens left below this share of its bucket.
+constexpr double contended_share = 0.5;
 constexpr std::size_t max_redirects = 3;
 constexpr std::size_t max_open_requests = 64;
 
@@ -177,7 +183,7 @@
   request.urgent = demand.urgent;
   request.used_locally = std::exchange(to.state.used_locally, 0);
   to.state.open.push_back({request.serial, node, demand.urgent, to.now, false,
-                           hops.candidates, hops.redirects});
+                           hops.candidates, hops.redirects, request.used_locally});
   to.out.wake_at.push_back(to.now + reply_timeout);
   send(to, node, std::move(request));
 }
@@ -279,6 +285,24 @@
   refuse(to, request, undecided_retry_after, "undecided");
 }
 
+/// Whether a request may be admitted ahead of the owner's answer: the owner had many
+/// tokens left when it last answered, and knows of all earlier such requests.
+bool may_admit_early(const call& to) {
+  const account_state& state = to.state;
+  return to.node.view.counted && !state.candidates.empty() && state.waiting.empty() &&
+         state.unconfirmed == 0 && to.now >= state.contended_until;
+}
+
+/// Admits a request and tells the owner, which deducts it.
+void admit_early(const call& to, std::uint64_t request) {
+  account_state& state = to.state;
+  ++state.count.admitted_early;
+  ++state.unconfirmed;
+  ++state.used_locally;
+  admit(to, request, "early");
+  ask(to, {std::max(1U, wanted_tokens(state.reserve, state.parts, to.now)), 0}, 0);
+}
+
 void serve_waiting(const call& to) {
   std::deque<waiting_request>& waiting = to.state.waiting;
   while (!waiting.empty() && use_token(to.state.reserve, to.now)) {
@@ -361,6 +385,7 @@
     mark_established(view, grant.owner, false, to.now);
   }
   rank(to);
+  to.state.used_locally += open.used_locally;
   if (to.state.owner.is_first) {
     // The others already take this node for the owner.
     while (!to.state.waiting.empty()) {
@@ -502,11 +527,19 @@
   }
 }
 
+/// Whether so few tokens are left that requests must not be admitted ahead of them.
+bool is_contended(const call& to, bool full) {
+  return !full || to.state.owner.full.level < contended_share * to.state.parts.capacity;
+}
+
 void grant_or_redirect(const call& to, const std::string& from,
                        const token_request& request) {
   owner_state& owner = to.state.owner;
   token_grant grant = make_grant(to, request);
-  if (!owner.is_first && request.kind == request_kind::normal) {
+  // A node that may not own accounts yet uses its limited share at once. The sender
+  // would ask it for that after a redirect.
+  const bool joining = !to.node.view.self_established && !to.node.view.stopping;
+  if (!owner.is_first && request.kind == request_kind::normal && !joining) {
     if (!to.state.candidates.empty()) {
       grant.owner = to.state.candidates.front();
     } else {
@@ -518,10 +551,12 @@
   }
   claim(to);
   const bool full = refill_owner(to);
+  deduct(owner, request.used_locally, to.state.parts);
   const token_demand demand{request.wanted, request.urgent};
   grant.tokens =
       grant_tokens(owner, from, request.serial, demand, to.state.parts, full, to.now);
   grant.retry_after = time_to_ask(to, full);
+  grant.contended = is_contended(to, full);
   reply(to, from, std::move(grant));
 }
 
@@ -531,7 +566,8 @@
 
 void set_limit(const call& to, const rate_limit& limit, bool is_new) {
   account_state& state = to.state;
-  if (!is_new && state.limit == limit) {
+  const bound_settings& bound = to.node.bound;
+  if (!is_new && state.limit == limit && state.bound == bound) {
     return;
   }
   if (!is_new) {
@@ -539,13 +575,17 @@
     refill_owner(to);  // At the former rate, until now.
   }
   // A limit on an account that had none is lower as well.
-  if (is_new || is_lower(limit, state.limit)) {
+  if (is_new || is_lower(limit, state.limit) ||
+      arrivals_bound(limit, bound) < arrivals_bound(state.limit, state.bound)) {
     state.lowered_in = to.node.version;
     state.reserve.batches.clear();
     state.owner.grants.clear();
   }
   state.limit = limit;
-  state.parts = make_plan(limit, to.node.bound);
+  state.bound = bound;
+  state.parts = make_plan(limit, bound);
+  state.unconfirmed = 0;
+  state.contended_until = {};
   state.none_until = {};
   state.ranked_generation = 0;
   owner_state& owner = state.owner;
@@ -607,6 +647,10 @@
            "limit");
     return;
   }
+  if (may_admit_early(to)) {
+    admit_early(to, request);
+    return;
+  }
   state->waiting.push_back({request, now + wait});
   out.wake_at.push_back(now + wait);
   ask_for_waiting(to, 0);
@@ -639,9 +683,10 @@
   }
   return_tokens(state->owner, from, request.returned_grant, request.returned,
                 state->parts, now);
-  deduct(state->owner, request.used_locally, state->parts);
   if (request.wanted > 0) {
     grant_or_redirect(to, from, request);
+  } else {
+    deduct(state->owner, request.used_locally, state->parts);
   }
 }
 
@@ -673,6 +718,10 @@
     follow_redirect(to, from, open, grant);
     return;
   }
+  state->unconfirmed = 0;
+  if (grant.contended) {
+    state->contended_until = now + contended_for;
+  }
   if (grant.version >= state->lowered_in) {
     const base::milliseconds validity = std::min(grant.validity, state->parts.validity);
     add_tokens(
--- a/src/ibis/serving/account_quota.cpp
+++ b/src/ibis/serving/account_quota.cpp
@@ -1,8 +1,9 @@
 #include "ibis/serving/account_quota.hpp"
 
-#include <algorithm>  // for find_if, min
+#include <algorithm>  // for clamp, find_if, min
 #include <cmath>      // for isfinite
 #include <map>        // for map
+#include <set>        // for set
 #include <utility>    // for move
 
 #include "ibis/serving/pending_request.hpp"     // for start_request
@@ -16,6 +17,8 @@
 /// shortest, 120 ms, while messages between nodes take up to 10 ms both ways.
 constexpr int wait_divisor = 6;
 constexpr base::milliseconds max_wait{250};
+/// Longest time that is accepted from another node.
+constexpr base::milliseconds max_granted_time = std::chrono::hours(1);
 constexpr base::milliseconds stopping_retry_after{50};
 
 std::map<std::string, quota::rate_limit> read_limits(const catalog& config) {
@@ -58,12 +61,22 @@
 wire::quota_grant to_wire(quota::token_grant&& grant) {
   return {std::move(grant.account), grant.serial,      grant.tokens,
           grant.validity,           grant.retry_after, grant.version,
-          std::move(grant.owner),   grant.released};
+          std::move(grant.owner),   grant.released,    grant.contended};
 }
 
 quota::token_grant from_wire(const wire::quota_grant& grant) {
-  return {grant.account,     grant.serial,  grant.tokens, grant.validity,
-          grant.retry_after, grant.version, grant.owner,  grant.released};
+  const auto bounded = [](base::milliseconds value) {
+    return std::clamp(value, base::milliseconds(0), max_granted_time);
+  };
+  return {grant.account,
+          grant.serial,
+          grant.tokens,
+          bounded(grant.validity),
+          bounded(grant.retry_after),
+          grant.version,
+          grant.owner,
+          grant.released,
+          grant.contended};
 }
 
 /// @return A node's address, which is unknown if the node joined just now.
@@ -118,7 +131,9 @@
     ctx.log(notice.name, {{"account", notice.account}, {"node", notice.node}});
   }
   for (const base::time_point due : out.wake_at) {
-    ctx.add_timer(due, timer_kind::quota);
+    if (ctx.node.quota_dues.insert(due).second) {
+      ctx.add_timer(due, timer_kind::quota);
+    }
   }
   for (const quota::decision& decision : out.decisions) {
     apply(decision, ctx);
@@ -132,6 +147,11 @@
   if (!node.settings.quota || !node.configuration) {
     return false;
   }
+  if (node.quota.view.self.empty()) {
+    node.quota.view.self = node.settings.node;
+    node.quota.view.first_start = node.settings.first_start;
+    node.quota.view.joined_at = node.started_at;
+  }
   const bool same_bound = node.quota.bound == *node.settings.quota;
   if (node.quota_configuration != node.configuration || !same_bound) {
     node.quota_configuration = node.configuration;
@@ -153,6 +173,7 @@
               {{"account", name},
                {"owner", state.candidates.empty() ? "" : state.candidates.front()},
                {"admitted", std::to_string(state.count.admitted)},
+               {"early", std::to_string(state.count.admitted_early)},
                {"locally", std::to_string(state.count.admitted_locally)},
                {"refused", std::to_string(state.count.refused)},
                {"undecided", std::to_string(state.count.undecided)}});
@@ -171,8 +192,10 @@
   }
   const std::string account = pending.account;
   const base::caller_id caller = pending.caller;
-  const base::milliseconds wait =
-      std::min(pending.route->objective / wait_divisor, max_wait);
+  const auto time_left = std::chrono::duration_cast<base::milliseconds>(
+      pending.effective_deadline - ctx.now);
+  const base::milliseconds wait = std::min(
+      {pending.route->objective / wait_divisor, time_left / wait_divisor, max_wait});
   ctx.node.quota_waiting.insert_or_assign(caller, std::move(pending));
   quota::output out;
   quota::decide(ctx.node.quota, account, caller.value, wait, ctx.now, out);
@@ -198,12 +221,6 @@
   if (!ctx.node.settings.quota) {
     return;
   }
-  quota::node_view& view = ctx.node.quota.view;
-  if (!view.counted) {
-    view.self = ctx.node.settings.node;
-    view.first_start = ctx.node.settings.first_start;
-    view.joined_at = ctx.node.started_at;
-  }
   update_limits(ctx);
   std::vector<std::string> names;
   names.reserve(ctx.node.peers.size());
@@ -245,6 +262,8 @@
 }
 
 void on_quota_due(context& ctx) {
+  std::set<base::time_point>& dues = ctx.node.quota_dues;
+  dues.erase(dues.begin(), dues.upper_bound(ctx.now));
   quota::output out;
   quota::on_time(ctx.node.quota, ctx.now, out);
   carry_out(std::move(out), ctx);
--- a/src/ibis/serving/attempt.cpp
+++ b/src/ibis/serving/attempt.cpp
@@ -1,6 +1,6 @@
 #include "ibis/serving/attempt.hpp"
 
-#include <algorithm>  // for find
+#include <algorithm>  // for any_of, find
 #include <utility>    // for move
 
 #include "ibis/serving/connection_quota.hpp"    // for service_budget
@@ -98,7 +98,9 @@
     task.tried_leafs.push_back(leaf.key);
   }
   task.active_connections.push_back(id);
-  ctx.node.account_use.charge(pending.account, pending.typical_latency, ctx.now);
+  const bool known = pending.expected > base::duration(0);
+  ctx.node.account_use.charge(
+      pending.account, known ? pending.expected : pending.typical_latency, ctx.now);
   if (task.sent == 0) {
     ctx.node.services[task.service].kinds.count_started(pending.route->name, ctx.now);
   }
@@ -149,7 +151,27 @@
   return true;
 }
 
+namespace {
+
+/// Whether one of the leafs that were chosen for a task may still get it.
+bool has_usable_leaf(const task_state& task, context& ctx) {
+  const std::vector<leaf_ptr>& leafs = ctx.node.services[task.service].leafs;
+  return std::any_of(leafs.begin(), leafs.end(), [&task](const leaf_ptr& leaf) {
+    return takes_new_work(*leaf) &&
+           std::find(task.leaf_subset.begin(), task.leaf_subset.end(), leaf->key) !=
+               task.leaf_subset.end();
+  });
+}
+
+}  // namespace
+
 void choose_task_leafs(const pending_request& pending, task_state& task, context& ctx) {
+  if (!task.leaf_tags.empty() && !has_usable_leaf(task, ctx) && task.sent == 0 &&
+      !task.may_have_run) {
+    // No leaf has got it, so that others may be chosen.
+    task.leaf_subset.clear();
+    task.leaf_tags.clear();
+  }
   if (!task.leaf_tags.empty()) {
     return;
   }
--- a/src/ibis/serving/evacuations_test.cpp
+++ b/src/ibis/serving/evacuations_test.cpp
@@ -107,30 +107,32 @@
   CHECK(depends_on_store(node));
 }
 
-// Guards against an evacuation that a stale page of the first listing hides.
+// Guards against changes between the pages of a listing that a watch from the last
+// page's revision would miss.
 TEST_CASE("Evacuations are watched from the oldest revision of a listing's pages") {
   node_state node = make_node(following_settings(), 1);
-  const effects started = start(node, start_time);
-  REQUIRE(find_call<list_topic>(started) != nullptr);
-  CHECK(find_call<list_topic>(started)->allow_stale);
+  start(node, start_time);
   reduce(node, make_zone_page(12, "za", "za"), start_time);
   CHECK(node.evacuated_zones.empty());
+  CHECK_FALSE(knows_evacuations(node));
   const effects out = reduce(node, make_zone_page(20, "zb", ""), start_time);
   CHECK(node.evacuated_zones == std::set<std::string>{"za", "zb"});
-  CHECK_FALSE(knows_evacuations(node));
+  CHECK(knows_evacuations(node));
   const auto* watch = find_call<watch_topic>(out);
   REQUIRE(watch != nullptr);
   CHECK(watch->revision == 12);
   reduce(node, make_zone_change(21, {{"za", false}}), start_time);
   CHECK(node.evacuated_zones == std::set<std::string>{"zb"});
-  CHECK(knows_evacuations(node));
 }
 
-// Guards against a listing that is not allowed to be stale and costs a call at each
-// node, and against one that may be stale after the history was dropped.
-TEST_CASE("Only the first listing of evacuations may be stale") {
+// Guards against requests to leafs whose evacuation a stale listing does not show: at
+// the start, before the watch answers, and after the history was dropped.
+TEST_CASE("No listing of evacuations may be stale") {
   node_state node = make_node(following_settings(), 1);
-  start(node, start_time);
+  const effects started = start(node, start_time);
+  REQUIRE(find_call<list_topic>(started) != nullptr);
+  CHECK_FALSE(find_call<list_topic>(started)->allow_stale);
+  CHECK_FALSE(knows_evacuations(node));
   reduce(node, make_zone_page(10, "za", ""), start_time);
   reduce(
       node,
--- a/src/ibis/serving/registry.cpp
+++ b/src/ibis/serving/registry.cpp
@@ -95,8 +95,12 @@
   if (starts_draining) {
     log_leaf("leaf_draining", *leaf, ctx);
   }
-  if (starts_draining || (leaf->evacuated && !was_evacuated)) {
+  const bool changes_service = leaf->evacuated != was_evacuated;
+  ctx.node.holders_outdated = ctx.node.holders_outdated || changes_service;
+  if (starts_draining || leaf->evacuated) {
     close_idle(*leaf, ctx);
+  }
+  if (starts_draining || changes_service) {
     dispatch_waiting_tasks(record.service, ctx);
   }
 }
--- a/src/ibis/serving/topic_calls.cpp
+++ b/src/ibis/serving/topic_calls.cpp
@@ -74,7 +74,7 @@
 }
 
 bool may_list_stale(store_topic topic, const topic_state& state) {
-  return topic != store_topic::configuration && !state.stale_listing_tried;
+  return topic == store_topic::leafs && !state.stale_listing_tried;
 }
 
 void start_listing(store_topic topic, const std::string& after, context& ctx) {
--- a/src/ibis/serving/waiting_tasks.cpp
+++ b/src/ibis/serving/waiting_tasks.cpp
@@ -44,6 +44,15 @@
   return ctx.node.configuration && ctx.node.configuration->accounts;
 }
 
+/// @return The time that a leaf is expected to need for a task of the request; 0 if
+/// nothing is known.
+base::duration expected_time(const pending_request& pending) {
+  if (pending.expected > base::duration(0)) {
+    return pending.expected;
+  }
+  return pending.latency_measured ? pending.typical_latency : base::duration(0);
+}
+
 admission::waiting_entry make_entry(const pending_request& pending,
                                     const context& ctx) {
   admission::waiting_entry entry;
@@ -51,17 +60,15 @@
   entry.priority = pending.priority;
   entry.account = pending.account;
   entry.kind = pending.route->name;
-  if (pending.latency_measured) {
-    entry.expected_cost = pending.typical_latency;
-  }
+  entry.expected_cost = expected_time(pending);
   entry.request_cost =
       pending.typical_latency * static_cast<base::duration::rep>(pending.tasks.size());
   entry.arrived = pending.arrived;
   entry.deadline = pending.effective_deadline;
   entry.ages = shares_fairly(ctx);
   entry.latest_start = admission::latest_useful_start(
-      entry.critical, pending.typical_latency, pending.objective_deadline,
-      pending.effective_deadline);
+      entry.critical, entry.critical ? entry.expected_cost : pending.typical_latency,
+      pending.objective_deadline, pending.effective_deadline);
   return entry;
 }
 
--- a/src/ibis/wire/codec.cpp
+++ b/src/ibis/wire/codec.cpp
@@ -224,7 +224,7 @@
     finish(fb::body::quota_grant,
            fb::Createquota_grant(out, account, value.serial, value.tokens,
                                  value.validity.count(), value.retry_after.count(),
-                                 value.version, owner, value.released)
+                                 value.version, owner, value.released, value.contended)
                .Union());
   }
   void operator()(const part_request& value) const {
@@ -428,6 +428,7 @@
   value.version = source.version();
   value.owner = read_string(source.owner());
   value.released = source.released();
+  value.contended = source.contended();
   return value;
 }
 
--- a/src/ibis/wire/codec_test.cpp
+++ b/src/ibis/wire/codec_test.cpp
@@ -117,8 +117,9 @@
   CHECK(std::get<shards_reply>(round_trip(shards_answer)) == shards_answer);
   const quota_request tokens{"north-desk", 1ULL << 62U, 1, 5, 2, 3, 41, 4, 9};
   CHECK(std::get<quota_request>(round_trip(tokens)) == tokens);
-  const quota_grant grant{"north-desk",           8, 5,     base::milliseconds(600),
-                          base::milliseconds(70), 9, "n-4", true};
+  const quota_grant grant{
+      "north-desk", 8,    5,   base::milliseconds(600), base::milliseconds(70), 9,
+      "n-4",        true, true};
   CHECK(std::get<quota_grant>(round_trip(grant)) == grant);
   const topic_watch watch{3, 1, 77};
   CHECK(std::get<topic_watch>(round_trip(watch)) == watch);
