--- a/src/ibis/access/accounts.cpp
+++ b/src/ibis/access/accounts.cpp
@@ -1,6 +1,6 @@
 #include "ibis/access/accounts.hpp"
 
-#include <algorithm>      // for all_of, find_if
+#include <algorithm>      // for all_of, find_if, min
 #include <cmath>          // for isfinite
 #include <unordered_set>  // for unordered_set
 #include <utility>        // for move
@@ -28,7 +28,7 @@
 
 double usable_limit(double value, const std::string& name, const char* problem,
                     const account_warning& warn) {
-  /// Greater limits are errors of their writer, and cannot be reached.
+  // Greater limits are errors of their writer, and cannot be reached.
   constexpr double max_limit = 1e6;
   if (std::isfinite(value) && value >= 0) {
     return std::min(value, max_limit);
