--- a/include/ibis/cost/cost_table.hpp
+++ b/include/ibis/cost/cost_table.hpp
@@ -96,7 +96,8 @@
 ///     const auto estimate = table.find(classify("search", 200, ""), now);
 class cost_table {
  public:
-  explicit cost_table(const table_settings& settings = {}) : settings_(settings) {}
+  cost_table() = default;
+  explicit cost_table(const table_settings& settings) : settings_(settings) {}
 
   /// Learns the time that a leaf at usual speed took for a request alone. With an
   /// account, the classes with and without it learn.
--- a/include/ibis/reactor/store_client.hpp
+++ b/include/ibis/reactor/store_client.hpp
@@ -6,6 +6,8 @@
 #include <asio/io_context.hpp>  // for io_context
 #include <functional>           // for function
 #include <memory>               // for shared_ptr
+#include <optional>             // for optional
+#include <vector>               // for vector
 
 #include "ibis/reactor/leaf_connection.hpp"  // for event_callback
 #include "ibis/reactor/protocol.hpp"         // for protocol
@@ -49,6 +51,10 @@
   /// @return Whether the record exists.
   static bool is_written(const base::result<http::response>& response);
   void report_count(const base::result<http::response>& response);
+  /// @return The evacuations that a probe has listed; nothing if it is no whole
+  /// listing.
+  [[nodiscard]] std::optional<std::vector<serving::zone_change>> read_zones(
+      const http::response& response) const;
   static void log_refusal(const char* step, unsigned status);
   static void log_failure(const char* step, const base::error& error);
 
--- a/include/ibis/serving/effect.hpp
+++ b/include/ibis/serving/effect.hpp
@@ -176,6 +176,9 @@
 struct probe_store {
   base::milliseconds limit{0};  ///< Timeout of the call.
   base::time_point sent_at{};   ///< Returned in `store_probed`.
+  /// Whether the call lists the evacuations, so that a watch of them needs no check of
+  /// its own.
+  bool list_evacuations = false;
 };
 
 /// Removes this node's record from the store.
--- a/include/ibis/serving/evacuations.hpp
+++ b/include/ibis/serving/evacuations.hpp
@@ -16,6 +16,10 @@
 /// results from all of them takes effect.
 void apply_zone_changes(const std::vector<zone_change>& changes, context& ctx);
 
+/// Whether a complete listing of the evacuated zones says what the node knows.
+bool matches_zone_listing(const node_state& node,
+                          const std::vector<zone_change>& listed);
+
 /// Whether a zone is evacuated.
 bool is_evacuated(const node_state& node, const std::string& zone);
 
--- a/include/ibis/serving/event.hpp
+++ b/include/ibis/serving/event.hpp
@@ -245,6 +245,8 @@
   base::time_point sent_at{};
   /// The store's revision; nothing if it refused the probe.
   std::optional<std::uint64_t> revision;
+  /// All evacuations; nothing if the probe did not list them on one page.
+  std::optional<std::vector<zone_change>> zones{};
 };
 
 /// The process was asked to stop gracefully.
--- a/src/ibis/reactor/store_client.cpp
+++ b/src/ibis/reactor/store_client.cpp
@@ -1,6 +1,7 @@
 #include "ibis/reactor/store_client.hpp"
 
 #include <utility>  // for move
+#include <variant>  // for get_if
 
 #include "ibis/reactor/node_log.hpp"  // for write_log
 
@@ -120,13 +121,30 @@
   on_event_(*page);
 }
 
+std::optional<std::vector<serving::zone_change>> store_client::read_zones(
+    const http::response& response) const {
+  const serving::event decoded = protocol_.decode_store_response(
+      serving::store_topic::evacuations, true, response);
+  const auto* listed = std::get_if<serving::topic_listed>(&decoded);
+  if (listed == nullptr || !listed->next_page_after.empty()) {
+    return std::nullopt;
+  }
+  return listed->zones;
+}
+
 void store_client::probe(const serving::probe_store& effect) {
+  const bool list = effect.list_evacuations;
+  const http::request request =
+      list ? protocol_.make_list_request({serving::store_topic::evacuations, "", false})
+           : protocol_.make_probe_request();
   const bool added = probe_queue_->add(
-      protocol_.make_probe_request(), effect.limit,
-      [this, sent_at = effect.sent_at](const base::result<http::response>& response) {
+      request, effect.limit,
+      [this, list,
+       sent_at = effect.sent_at](const base::result<http::response>& response) {
         serving::store_probed probed{response.has_value(), sent_at, {}};
         if (response) {
           probed.revision = protocol_.decode_probe_response(response.value());
+          probed.zones = list ? read_zones(response.value()) : std::nullopt;
         }
         on_event_(probed);
       });
--- a/src/ibis/serving/evacuations.cpp
+++ b/src/ibis/serving/evacuations.cpp
@@ -93,6 +93,15 @@
   replace_zones(std::move(zones), ctx);
 }
 
+bool matches_zone_listing(const node_state& node,
+                          const std::vector<zone_change>& listed) {
+  std::set<std::string> zones;
+  for (const zone_change& change : listed) {
+    apply(change, zones);
+  }
+  return zones == node.evacuated_zones;
+}
+
 bool is_evacuated(const node_state& node, const std::string& zone) {
   return node.evacuated_zones.contains(zone);
 }
--- a/src/ibis/serving/evacuations_test.cpp
+++ b/src/ibis/serving/evacuations_test.cpp
@@ -144,6 +144,26 @@
   CHECK(node.evacuated_zones.contains("za"));
 }
 
+// Guards against a call at each probe, since changes of other objects raise the store's
+// revision, and against a watch that misses a change.
+TEST_CASE("A probe that lists evacuations checks their watch only if they differ") {
+  node_state node = make_node(following_settings(), 1);
+  start(node, start_time);
+  reduce(node, make_zone_page(10, "za", ""), start_time);
+  const base::time_point sent_at = start_time + std::chrono::seconds(2);
+  store_probed probed{true, sent_at, 50, std::vector<zone_change>{{"za", true}}};
+  const effects same = reduce(node, probed, sent_at);
+  CHECK(find_call<watch_topic>(same) == nullptr);
+  CHECK(node.topics[static_cast<std::size_t>(store_topic::evacuations)].verified_at ==
+        sent_at);
+  probed.zones = std::vector<zone_change>{};
+  const effects different = reduce(node, probed, sent_at);
+  const auto* watch = find_call<watch_topic>(different);
+  REQUIRE(watch != nullptr);
+  CHECK(watch->topic == store_topic::evacuations);
+  CHECK(watch->revision == 10);
+}
+
 // Guards against leafs that get work between two changes of one answer, which may
 // repeat what the node knows already.
 TEST_CASE("Of several changes of a zone in one answer only the result takes effect") {
--- a/src/ibis/serving/store_probe.cpp
+++ b/src/ibis/serving/store_probe.cpp
@@ -1,5 +1,6 @@
 #include "ibis/serving/store_probe.hpp"
 
+#include "ibis/serving/evacuations.hpp"     // for matches_zone_listing
 #include "ibis/serving/store_follower.hpp"  // for depends_on_store, record_failure
 #include "ibis/serving/topic_calls.hpp"     // for check_watch, followed_topics
 #include "ibis/serving/view_age.hpp"        // for mark_verified
@@ -49,7 +50,9 @@
   if (state.phase != topic_phase::watching || !state.source.empty()) {
     return;
   }
-  if (*event.revision <= state.revision) {
+  const bool current = topic == store_topic::evacuations && event.zones &&
+                       matches_zone_listing(ctx.node, *event.zones);
+  if (current || *event.revision <= state.revision) {
     mark_verified(state, event.sent_at);
     return;
   }
@@ -68,7 +71,8 @@
   const store_settings& settings = ctx.node.settings.store;
   if (depends_on_store(ctx.node)) {
     ++ctx.node.count.store_calls;
-    ctx.out.emplace_back(probe_store{settings.probe_limit, ctx.now});
+    ctx.out.emplace_back(
+        probe_store{settings.probe_limit, ctx.now, settings.follow_evacuations});
   }
   ctx.add_timer(ctx.now + settings.probe_period, timer_kind::probe_store);
 }
