--- a/src/ibis/quota/node.cpp
+++ b/src/ibis/quota/node.cpp
@@ -260,12 +260,34 @@
                   time_to_token(owner.limited, to.state.parts.limited_rate_per_s));
 }
 
+/// Whether so few tokens are left that requests must not be admitted ahead of them.
+bool is_contended(const call& to, bool full) {
+  return !full || to.state.owner.full.level < contended_share * to.state.parts.capacity;
+}
+
+/// Tells all other nodes that few tokens are left, when the level falls below the
+/// threshold. Without that, each could admit one more request early.
+void notify_if_contended(const call& to, bool full, bool was_contended) {
+  if (was_contended || !is_contended(to, full)) {
+    return;
+  }
+  for (const auto& [node, other] : to.node.view.others) {
+    token_grant notice;
+    notice.account = to.account;
+    notice.version = to.node.version;
+    notice.contended = true;
+    to.out.grants.push_back({node, std::move(notice)});
+  }
+}
+
 /// Decides at the node that is the owner.
 void decide_as_owner(const call& to, std::uint64_t request) {
   claim(to);
   const bool full = refill_owner(to);
+  const bool was_contended = is_contended(to, full);
   owner_state& owner = to.state.owner;
   if (take_token(owner, full)) {
+    notify_if_contended(to, full, was_contended);
     admit(to, request, "owner");
     return;
   }
@@ -527,11 +549,6 @@
   }
 }
 
-/// Whether so few tokens are left that requests must not be admitted ahead of them.
-bool is_contended(const call& to, bool full) {
-  return !full || to.state.owner.full.level < contended_share * to.state.parts.capacity;
-}
-
 void grant_or_redirect(const call& to, const std::string& from,
                        const token_request& request) {
   owner_state& owner = to.state.owner;
@@ -551,6 +568,7 @@
   }
   claim(to);
   const bool full = refill_owner(to);
+  const bool was_contended = is_contended(to, full);
   deduct(owner, request.used_locally, to.state.parts);
   const token_demand demand{request.wanted, request.urgent};
   grant.tokens =
@@ -558,6 +576,7 @@
   grant.retry_after = time_to_ask(to, full);
   grant.contended = is_contended(to, full);
   reply(to, from, std::move(grant));
+  notify_if_contended(to, full, was_contended);
 }
 
 bool is_lower(const rate_limit& next, const rate_limit& before) {
@@ -707,6 +726,9 @@
         return open.serial == grant.serial && open.node == from;
       });
   if (found == state->open.end()) {
+    if (grant.contended) {
+      state->contended_until = now + contended_for;
+    }
     if (grant.released || !grant.owner.empty()) {
       on_claim_answer(to, from, grant);
     }
--- a/src/ibis/quota/parts_test.cpp
+++ b/src/ibis/quota/parts_test.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>         // for count_if
 #include <catch2/catch.hpp>  // for TEST_CASE, CHECK
 
 #include "ibis/quota/node.hpp"  // for node_state
@@ -161,4 +162,35 @@
   CHECK(count_tokens(node.accounts["x"].reserve, start + seconds(1)) == 0);
 }
 
+// Guards against nodes that each admit one more request early although the account has
+// just used up most of its tokens.
+TEST_CASE("The owner tells all others once when few tokens are left") {
+  node_state node;
+  node.view.self = "self";
+  node.view.joined_at = start;
+  output out;
+  configure(node, 1, {{"x", {5, 5}}}, start, out);
+  on_nodes(node, {}, true, start, out);
+  const base::time_point later = start + seconds(60);
+  node.view.others["a"];
+  node.view.others["b"];
+  std::size_t notices = 0;
+  for (std::uint64_t request = 1; request <= 6; ++request) {
+    output decided;
+    decide(node, "x", request, milliseconds(20), later, decided);
+    notices += static_cast<std::size_t>(
+        std::count_if(decided.grants.begin(), decided.grants.end(),
+                      [](const auto& sent) { return sent.message.contended; }));
+  }
+  CHECK(notices == 2);
+  node_state other;
+  other.view.self = "b";
+  configure(other, 1, {{"x", {5, 5}}}, start, out);
+  token_grant notice;
+  notice.account = "x";
+  notice.contended = true;
+  on_grant(other, "self", notice, later, out);
+  CHECK(other.accounts["x"].contended_until > later);
+}
+
 }  // namespace ibis::quota
