--- a/src/ibis/serving/evacuations_test.cpp
+++ b/src/ibis/serving/evacuations_test.cpp
@@ -8,6 +8,7 @@
 #include "ibis/serving/leaf_subset.hpp"     // for choose_allowed_leafs
 #include "ibis/serving/node.hpp"            // for make_node, reduce, start
 #include "ibis/serving/store_follower.hpp"  // for depends_on_store
+#include "ibis/serving/update_source.hpp"   // for choose_update_source
 
 namespace ibis::serving {
 namespace {
@@ -165,6 +166,28 @@
   CHECK(watch->revision == 50);
 }
 
+// Guards against probes of the store by all nodes for the whole wait of a watch that
+// began before they knew peers.
+TEST_CASE("The watch of evacuations moves to a peer once peers are known") {
+  node_settings settings = following_settings();
+  settings.peers.watchers = 1;
+  for (const char* name : {"node-1", "node-2"}) {
+    settings.node = name;
+    node_state node = make_node(settings, 1);
+    start(node, start_time);
+    reduce(node, make_zone_page(10, "za", ""), start_time);
+    const peer other{settings.node == "node-1" ? "node-2" : "node-1", "10.0.0.2:1",
+                     settings.availability_zone};
+    reduce(node, nodes_counted{2, true, {other}, ""}, start_time);
+    const bool follows_peer = choose_update_source(node, start_time).has_value();
+    const effects out =
+        reduce(node, tick{}, start_time + node.settings.store.probe_period);
+    CHECK((find_call<query_peer>(out) != nullptr) == follows_peer);
+    CHECK((find_call<cancel_store_call>(out) != nullptr) == follows_peer);
+    CHECK(node.evacuated_zones == std::set<std::string>{"za"});
+  }
+}
+
 // Guards against leafs that get work between two changes of one answer, which may
 // repeat what the node knows already.
 TEST_CASE("Of several changes of a zone in one answer only the result takes effect") {
--- a/src/ibis/serving/store_probe.cpp
+++ b/src/ibis/serving/store_probe.cpp
@@ -5,6 +5,7 @@
 #include "ibis/serving/evacuations.hpp"     // for matches_zone_listing
 #include "ibis/serving/store_follower.hpp"  // for depends_on_store, record_failure
 #include "ibis/serving/topic_calls.hpp"     // for check_watch, followed_topics
+#include "ibis/serving/update_source.hpp"   // for choose_update_source
 #include "ibis/serving/view_age.hpp"        // for mark_verified
 
 namespace ibis::serving {
@@ -71,10 +72,27 @@
   }
 }
 
+/// Moves the watch of evacuations to a peer once peers are known. Evacuations are rare,
+/// so that a watch which began before stays at the store for its whole wait, and the
+/// node probes the store until then.
+void move_watch_to_peer(context& ctx) {
+  if (!ctx.node.settings.store.follow_evacuations || ctx.node.store_unavailable) {
+    return;
+  }
+  const topic_state& state = state_of(store_topic::evacuations, ctx);
+  const bool watches_store = state.phase == topic_phase::watching &&
+                             state.source.empty() && !state.paused && !state.checking;
+  if (watches_store && choose_update_source(ctx.node, ctx.now)) {
+    ctx.out.emplace_back(cancel_store_call{store_topic::evacuations});
+    start_watch(store_topic::evacuations, ctx);
+  }
+}
+
 }  // namespace
 
 void on_probe_due(context& ctx) {
   const store_settings& settings = ctx.node.settings.store;
+  move_watch_to_peer(ctx);
   if (depends_on_store(ctx.node)) {
     ++ctx.node.count.store_calls;
     ctx.out.emplace_back(
