--- a/src/ibis/quota/parts_test.cpp
+++ b/src/ibis/quota/parts_test.cpp
@@ -171,6 +171,8 @@
   output out;
   configure(node, 1, {{"x", {5, 5}}}, start, out);
   on_nodes(node, {}, true, start, out);
+  // From then on it may own accounts; its bucket is full at `later`.
+  on_time(node, start + seconds(20), out);
   const base::time_point later = start + seconds(60);
   node.view.others["a"];
   node.view.others["b"];
