--- a/src/ibis/quota/model_test.cpp
+++ b/src/ibis/quota/model_test.cpp
@@ -501,4 +501,34 @@
   }
 }
 
+// Guards against nodes that each admit a request early, ahead of an owner that no node
+// reaches: 62 nodes that are cut off from each other as an account's peak begins.
+TEST_CASE("The bound holds if all nodes are cut off as a peak begins") {
+  for (unsigned seed = 1; seed <= seed_count(3); ++seed) {
+    INFO("seed " << seed);
+    model run(seed);
+    run.accounts = {{"large", {12, 12}}, {"middle", {5, 5}}, {"small", {0.3, 0.3}}};
+    run.start_all(62);
+    run.run_until(epoch + seconds(30));
+    run.net.passes = [](const std::string&, const std::string&) { return false; };
+    overload(run, 62, epoch + seconds(60));
+    run.run_until(epoch + seconds(60));
+    check_bounds(run);
+  }
+}
+
+// Guards against early requests at the moment in which a peak begins at all nodes.
+TEST_CASE("The bound holds as a peak begins at all nodes") {
+  for (unsigned seed = 1; seed <= seed_count(3); ++seed) {
+    INFO("seed " << seed);
+    model run(seed);
+    run.accounts = {{"large", {12, 12}}, {"middle", {5, 5}}, {"small", {0.3, 0.3}}};
+    run.start_all(62);
+    run.run_until(epoch + seconds(30));
+    overload(run, 62, epoch + seconds(60));
+    run.run_until(epoch + seconds(60));
+    check_bounds(run);
+  }
+}
+
 }  // namespace ibis::quota
