Serving: a node leaves its peers for the store in bounded time

Cause: after each change a node asks the first two nodes of its zone on record, and the records of lost nodes stay. Each lost one costs 400 ms and is avoided for 5 s, so that with 13 or more of them a node asks them in a circle, and it neither watches nor probes the store meanwhile. Ruled out: the connections (each failed on time), the store.

Change: the timeout of a query to a peer ends when the topic's data was last verified max_follower_age ago, and the store is next then; also after a peer that cannot be reached.

--- a/include/ibis/serving/settings.hpp
+++ b/include/ibis/serving/settings.hpp
@@ -109,13 +109,17 @@
 
 /// Settings for getting store updates from other nodes.
 struct peer_settings {
-  std::size_t watchers = 2;       ///< Nodes per availability zone that watch the store.
-  base::milliseconds wait{1000};  ///< How long a peer may hold a query.
+  std::size_t watchers = 2;  ///< Nodes per availability zone that watch the store.
+  /// How long a peer may hold a query. See `fit_propagation`.
+  base::milliseconds wait{500};
   base::milliseconds grace{300};  ///< Added to `wait` for the timeout of a query.
   /// A node that cannot reach the store keeps its current data for this long, since
   /// most outages end by themselves; after that it gets updates from peers.
   base::milliseconds peer_fallback_after{10000};
-  base::milliseconds avoid_peer_for{5000};  ///< After a query to the peer failed.
+  /// How long a peer is avoided after a query to it failed; doubled after each further
+  /// failure, since the records of lost nodes stay.
+  base::milliseconds avoid_peer_for{5000};
+  base::milliseconds avoid_peer_limit{80000};
   std::size_t history_bytes = 262144;  ///< Size of the changes kept for each topic.
 };
 
--- a/include/ibis/serving/state.hpp
+++ b/include/ibis/serving/state.hpp
@@ -197,6 +197,12 @@
   base::time_point timer_due{};  ///< When its timer fires.
 };
 
+/// How a peer failed as a source of updates.
+struct peer_failures {
+  std::size_t consecutive = 0;
+  base::time_point avoid_until{};
+};
+
 /// The entries of the pages of an incomplete listing.
 struct listed_entries {
   std::vector<leaf_change> leafs;
@@ -324,8 +330,7 @@
   bool store_unavailable = false;
   std::size_t nodes = initial_node_estimate;  ///< Number of nodes, this one included.
   std::vector<peer> peers;
-  /// Until when each peer is avoided, by name.
-  std::unordered_map<std::string, base::time_point> avoided_peers;
+  std::unordered_map<std::string, peer_failures> failed_peers;  ///< By name.
   std::vector<waiting_peer> waiting_peers;
   holder_table holders;
   bool holders_outdated = false;  ///< What `holders` is made from has changed.
--- a/include/ibis/serving/update_source.hpp
+++ b/include/ibis/serving/update_source.hpp
@@ -16,8 +16,15 @@
 /// @return The peer to query, or nothing if this node is to query the store itself.
 std::optional<peer> choose_update_source(const node_state& node, base::time_point now);
 
-/// Excludes a peer as an update source for `peer_settings::avoid_peer_for`.
+/// Excludes a peer as an update source for `peer_settings::avoid_peer_for`, and for
+/// longer after each further failure. Does nothing if it is excluded already.
 /// @param node Name of the peer.
 void avoid_peer(const std::string& node, context& ctx);
 
+/// Forgets the failures of a peer, which has replied.
+void forget_peer_failures(const std::string& node, context& ctx);
+
+/// Forgets failures from so long ago that they count no more.
+void forget_old_peer_failures(context& ctx);
+
 }  // namespace ibis::serving
--- a/include/ibis/serving/view_age.hpp
+++ b/include/ibis/serving/view_age.hpp
@@ -19,6 +19,11 @@
 /// only if a revision check fails.
 base::milliseconds max_source_age(const store_settings& settings);
 
+/// @return The age of a topic's data at which a node that gets updates from peers turns
+/// to the store, whatever its peers do. It is greater than the age between two replies
+/// of a peer whose revision checks succeed.
+base::milliseconds max_follower_age(const node_settings& settings);
+
 /// Sets the intervals that determine how soon changes are applied, so that this takes
 /// no longer than a limit.
 void fit_propagation(node_settings& settings, base::milliseconds limit);
@@ -28,7 +33,7 @@
 
 /// @return How long it takes at most, from when the store acknowledges a change, until
 /// a node applies it, provided that the node reaches a store that answers each call
-/// within `store_settings::call_time`. Its peers may have failed.
+/// within `store_settings::call_time` and on one page. Its peers may have failed.
 base::milliseconds longest_propagation(const node_settings& settings);
 
 }  // namespace ibis::serving
--- a/src/ibis/serving/node_records.cpp
+++ b/src/ibis/serving/node_records.cpp
@@ -9,6 +9,7 @@
 #include "ibis/serving/connection_quota.hpp"  // for service_budget
 #include "ibis/serving/holders.hpp"           // for update_holders
 #include "ibis/serving/registry.hpp"          // for forget_leaving_notices
+#include "ibis/serving/update_source.hpp"     // for forget_old_peer_failures
 
 namespace ibis::serving {
 namespace {
@@ -67,8 +68,7 @@
 }
 
 void forget_old_failures(context& ctx) {
-  std::erase_if(ctx.node.avoided_peers,
-                [&ctx](const auto& entry) { return entry.second <= ctx.now; });
+  forget_old_peer_failures(ctx);
   const base::duration forget_after = ctx.node.settings.holders.backoff_limit;
   std::erase_if(ctx.node.holder_health, [&ctx, forget_after](const auto& entry) {
     return entry.second.avoid_until + forget_after <= ctx.now;
--- a/src/ibis/serving/store_follower.cpp
+++ b/src/ibis/serving/store_follower.cpp
@@ -4,13 +4,14 @@
 #include <string>     // for string
 #include <utility>    // for move
 
-#include "ibis/serving/backoff.hpp"       // for spread_backoff
-#include "ibis/serving/evacuations.hpp"   // for apply_evacuations
-#include "ibis/serving/holders.hpp"       // for update_holders
-#include "ibis/serving/peer_replies.hpp"  // for record_change, reply_to_waiting_peers
-#include "ibis/serving/registry.hpp"      // for apply_changes, apply_listing
-#include "ibis/serving/topic_calls.hpp"   // for followed_topics, start_watch
-#include "ibis/serving/view_age.hpp"      // for mark_verified, view_age
+#include "ibis/serving/backoff.hpp"        // for spread_backoff
+#include "ibis/serving/evacuations.hpp"    // for apply_evacuations
+#include "ibis/serving/holders.hpp"        // for update_holders
+#include "ibis/serving/peer_replies.hpp"   // for record_change, reply_to_waiting_peers
+#include "ibis/serving/registry.hpp"       // for apply_changes, apply_listing
+#include "ibis/serving/topic_calls.hpp"    // for followed_topics, start_watch
+#include "ibis/serving/update_source.hpp"  // for forget_peer_failures
+#include "ibis/serving/view_age.hpp"       // for mark_verified, view_age
 
 namespace ibis::serving {
 namespace {
@@ -144,6 +145,7 @@
 void apply_peer_changes(const peer_replied& event, context& ctx) {
   const store_topic topic = event.update.topic;
   topic_state& state = state_of(topic, ctx);
+  forget_peer_failures(event.node, ctx);
   mark_verified(state, ctx.now - event.age);
   state.revision = std::max(state.revision, event.update.revision);
   apply_update(event.update, ctx);
@@ -153,12 +155,11 @@
   resume_following(topic, ctx);
 }
 
-/// Handles a peer that did not reply in time. Another peer may be silent too, so that
-/// the node turns to the store unless that is unavailable.
-void on_silent_source(store_topic topic, context& ctx) {
-  const topic_state& state = state_of(topic, ctx);
-  ctx.out.emplace_back(reset_peer_connection{state.source});
-  drop_source(topic, "silent", ctx);
+/// Continues to follow a topic after a peer could not be reached. Other peers may be
+/// lost too, each of which would take a timeout, so that the node turns to the store
+/// unless that is unavailable.
+void leave_lost_source(store_topic topic, const char* reason, context& ctx) {
+  drop_source(topic, reason, ctx);
   if (ctx.node.store_unavailable) {
     resume_following(topic, ctx);
     return;
@@ -166,6 +167,12 @@
   watch_store(topic, ctx);
 }
 
+/// Handles a peer that did not reply in time.
+void on_silent_source(store_topic topic, context& ctx) {
+  ctx.out.emplace_back(reset_peer_connection{state_of(topic, ctx).source});
+  leave_lost_source(topic, "silent", ctx);
+}
+
 }  // namespace
 
 void mark_store_recovered(store_topic topic, context& ctx) {
@@ -281,8 +288,7 @@
       resume_following(topic, ctx);
       return;
     case peer_reply_status::unreachable:
-      drop_source(topic, "unreachable", ctx);
-      resume_following(topic, ctx);
+      leave_lost_source(topic, "unreachable", ctx);
       return;
   }
 }
--- a/src/ibis/serving/topic_calls.cpp
+++ b/src/ibis/serving/topic_calls.cpp
@@ -1,7 +1,10 @@
 #include "ibis/serving/topic_calls.hpp"
 
+#include <algorithm>  // for min
+
 #include "ibis/serving/peer_replies.hpp"   // for reply_to_waiting_peers
 #include "ibis/serving/update_source.hpp"  // for avoid_peer, choose_update_source
+#include "ibis/serving/view_age.hpp"       // for max_follower_age
 
 namespace ibis::serving {
 namespace {
@@ -38,12 +41,26 @@
                 static_cast<std::uint64_t>(topic), state.call_serial);
 }
 
+/// @return How long a node may still wait for peers before it must turn to the store.
+base::milliseconds time_left_for_peers(const topic_state& state, const context& ctx) {
+  return max_follower_age(ctx.node.settings) - view_age(state, ctx.now);
+}
+
+/// @return The timeout of a query to a peer. While the store is unavailable, there is
+/// nothing to turn to instead.
+base::milliseconds peer_timeout(const topic_state& state, const context& ctx) {
+  const peer_settings& settings = ctx.node.settings.peers;
+  const base::milliseconds timeout = settings.wait + settings.grace;
+  return ctx.node.store_unavailable
+             ? timeout
+             : std::min(timeout, time_left_for_peers(state, ctx));
+}
+
 void watch_peer(store_topic topic, const peer& source, context& ctx) {
   topic_state& state = state_of(topic, ctx);
-  const peer_settings& settings = ctx.node.settings.peers;
   set_source(topic, source.node, ctx);
   ++ctx.node.count.peer_questions;
-  start_call(topic, settings.wait + settings.grace, ctx);
+  start_call(topic, peer_timeout(state, ctx), ctx);
   ctx.out.emplace_back(query_peer{source, topic, state.call_serial, state.revision});
 }
 
@@ -111,7 +128,8 @@
 }
 
 void start_watch(store_topic topic, context& ctx) {
-  if (const auto source = choose_update_source(ctx.node, ctx.now)) {
+  const auto source = choose_update_source(ctx.node, ctx.now);
+  if (source && peer_timeout(state_of(topic, ctx), ctx) > base::milliseconds(0)) {
     state_of(topic, ctx).phase = topic_phase::watching;
     watch_peer(topic, *source, ctx);
     return;
--- a/src/ibis/serving/update_source.cpp
+++ b/src/ibis/serving/update_source.cpp
@@ -13,8 +13,8 @@
 using peer_list = std::vector<const peer*>;
 
 bool is_avoided(const node_state& node, const peer& other, base::time_point now) {
-  const auto found = node.avoided_peers.find(other.node);
-  return found != node.avoided_peers.end() && now < found->second;
+  const auto found = node.failed_peers.find(other.node);
+  return found != node.failed_peers.end() && now < found->second.avoid_until;
 }
 
 /// Reduces the nodes of an availability zone to those that watch the store for it: the
@@ -73,8 +73,28 @@
 }
 
 void avoid_peer(const std::string& node, context& ctx) {
-  ctx.node.avoided_peers[node] = ctx.now + ctx.node.settings.peers.avoid_peer_for;
+  constexpr std::size_t max_doublings = 6;
+  const peer_settings& settings = ctx.node.settings.peers;
   ++ctx.node.count.peer_failures;
+  peer_failures& failures = ctx.node.failed_peers[node];
+  if (ctx.now < failures.avoid_until) {
+    return;
+  }
+  const std::size_t doublings = std::min(failures.consecutive, max_doublings);
+  ++failures.consecutive;
+  failures.avoid_until = ctx.now + std::min(settings.avoid_peer_for * (1U << doublings),
+                                            settings.avoid_peer_limit);
+}
+
+void forget_peer_failures(const std::string& node, context& ctx) {
+  ctx.node.failed_peers.erase(node);
+}
+
+void forget_old_peer_failures(context& ctx) {
+  const base::duration forget_after = ctx.node.settings.peers.avoid_peer_limit;
+  std::erase_if(ctx.node.failed_peers, [&ctx, forget_after](const auto& entry) {
+    return entry.second.avoid_until + forget_after <= ctx.now;
+  });
 }
 
 }  // namespace ibis::serving
--- a/standins/follower_fleet.cpp
+++ b/standins/follower_fleet.cpp
@@ -8,9 +8,10 @@
 namespace ibis::standins {
 namespace {
 
-constexpr base::microseconds store_delay{500};
 constexpr base::microseconds peer_delay{300};
 constexpr base::milliseconds refusal_delay{1};
+/// After this time a node gives up connecting to a VM that does not answer.
+constexpr base::milliseconds connect_timeout{400};
 
 void count_evacuation_call(follower_fleet::fleet_node& node,
                            serving::store_topic topic) {
@@ -34,6 +35,12 @@
   carry_out(settings.node, serving::start(added.state, now_));
 }
 
+void follower_fleet::lose_power(const std::string& name) {
+  fleet_node& lost = nodes.at(name);
+  lost.alive = false;
+  lost.lost_power = true;
+}
+
 void follower_fleet::announce_nodes() {
   for (auto& [name, node] : nodes) {
     if (!node.alive) {
@@ -356,8 +363,10 @@
 void follower_fleet::on_query_peer(const std::string& node,
                                    const serving::query_peer& effect) {
   count_evacuation_call(nodes.at(node), effect.topic);
-  if (!nodes.contains(effect.to.node) || !nodes.at(effect.to.node).alive) {
-    after(refusal_delay, [this, node, effect] {
+  const auto target = nodes.find(effect.to.node);
+  if (target == nodes.end() || !target->second.alive) {
+    const bool hangs = target != nodes.end() && target->second.lost_power;
+    after(hangs ? connect_timeout : refusal_delay, [this, node, effect] {
       serving::peer_replied failure{
           effect.to.node, effect.serial, serving::peer_reply_status::unreachable, {}};
       failure.update.topic = effect.topic;
--- a/standins/follower_fleet.hpp
+++ b/standins/follower_fleet.hpp
@@ -22,6 +22,8 @@
     serving::node_state state;
     std::string availability_zone;
     bool alive = true;
+    /// Its VM is gone for good, and connections to it hang until they time out.
+    bool lost_power = false;
     bool paused = false;  ///< Its timers do not fire, and its events are deferred.
     /// The store answers its calls with "busy", and its open watches with nothing.
     bool rejected_by_store = false;
@@ -36,6 +38,8 @@
   void add_node(const std::string& name, const std::string& zone);
   /// Adds a node with settings of its own and starts it at once.
   void add_node(const serving::node_settings& settings);
+  /// Ends a node for good, without notice. Its record stays in the store.
+  void lose_power(const std::string& name);
   /// Sends each live node the list of all nodes, as the store records it.
   void announce_nodes();
   /// Writes a configuration of this version to the store.
@@ -70,6 +74,8 @@
   [[nodiscard]] std::uint64_t count_watches() const;
 
   std::map<std::string, fleet_node> nodes;  ///< By name.
+  /// How long a call travels to the store, and as long its answer.
+  base::duration store_delay = std::chrono::microseconds(500);
   /// If set, returns whether messages from one node to another are lost.
   std::function<bool(const std::string&, const std::string&)> is_partitioned;
 
