Serving: a restored store is recognized by its era

Cause: revisions were compared by number alone. The node asked its peer from the revision of before the restoration; the peer, which had listed again at a lower one, took it for up to date and confirmed its view. Ruled out: the peer's own watch (listed again at once) and the configuration's version, which never goes back on a node.

Change: store_revision, an era and a number ordered by era first, in events, effects, the state and the messages between nodes. An answer of a later era lists all topics again, one of an earlier era is dropped.

--- a/include/ibis/reactor/protocol.hpp
+++ b/include/ibis/reactor/protocol.hpp
@@ -54,7 +54,7 @@
   /// Makes a cheap store request that returns the store's current revision.
   std::function<http::request()> make_probe_request;
   /// Decodes the response to it; nothing if the store refused the request.
-  std::function<std::optional<std::uint64_t>(const http::response&)>
+  std::function<std::optional<serving::store_revision>(const http::response&)>
       decode_probe_response;
   /// Decodes the response to a count request; nothing if it is not a listing.
   std::function<std::optional<serving::nodes_counted>(const http::response&)>
--- a/include/ibis/serving/effect.hpp
+++ b/include/ibis/serving/effect.hpp
@@ -83,7 +83,7 @@
 /// Waits for changes of a topic after a revision.
 struct watch_topic {
   store_topic topic = store_topic::configuration;
-  std::uint64_t revision = 0;
+  store_revision revision;
   base::milliseconds wait{0};  ///< The store answers by then, even without changes.
 };
 
@@ -98,7 +98,7 @@
   peer to;
   store_topic topic = store_topic::configuration;
   std::uint64_t serial = 0;
-  std::uint64_t revision = 0;
+  store_revision revision;
 };
 
 /// Replies to a peer's query.
@@ -107,7 +107,7 @@
   store_topic topic = store_topic::configuration;
   std::uint64_t serial = 0;
   peer_reply_status kind = peer_reply_status::changes;
-  std::uint64_t revision = 0;
+  store_revision revision;
   /// The store's answers that contain the changes, unparsed.
   std::vector<std::shared_ptr<const std::string>> texts;
   /// How long ago this node's data was last known to match the store's.
--- a/include/ibis/serving/event.hpp
+++ b/include/ibis/serving/event.hpp
@@ -18,6 +18,7 @@
 #include "ibis/serving/inbound_request.hpp"  // for inbound_request_ptr
 #include "ibis/serving/leaf_record.hpp"      // for leaf_record
 #include "ibis/serving/settings.hpp"         // for node_settings
+#include "ibis/serving/store_revision.hpp"   // for store_revision
 #include "ibis/wire/messages.hpp"            // for shards_request, shards_reply
 
 namespace ibis::serving {
@@ -98,7 +99,7 @@
 /// A page of a topic's complete listing.
 struct topic_listed {
   store_topic topic = store_topic::configuration;
-  std::uint64_t revision = 0;
+  store_revision revision;
   /// Key after which the next page begins; empty on the last page.
   std::string next_page_after;
   std::vector<leaf_change> leafs;
@@ -109,7 +110,7 @@
 /// Changes after the revision that a watch started from; none if the wait timed out.
 struct topic_changed {
   store_topic topic = store_topic::configuration;
-  std::uint64_t revision = 0;
+  store_revision revision;
   std::vector<leaf_change> leafs;
   catalog_ptr configuration;
   /// The store's answer, unparsed, to forward to peers.
@@ -164,7 +165,7 @@
   std::string node;
   store_topic topic = store_topic::configuration;
   std::uint64_t serial = 0;  ///< Returned in the reply.
-  std::uint64_t revision = 0;
+  store_revision revision;
 };
 
 /// Whether a peer's reply has updates, and if not, why.
@@ -244,7 +245,7 @@
   bool answered = false;  ///< The store answered in time.
   base::time_point sent_at{};
   /// The store's revision; nothing if it refused the probe.
-  std::optional<std::uint64_t> revision;
+  std::optional<store_revision> revision;
   /// All evacuations; nothing if the probe did not list them on one page.
   std::optional<std::vector<zone_change>> zones{};
 };
--- a/include/ibis/serving/leaf_record.hpp
+++ b/include/ibis/serving/leaf_record.hpp
@@ -1,7 +1,7 @@
 /// A leaf's record in the registry.
 #pragma once
 
-#include <cstdint>  // for uint32_t
+#include <cstdint>  // for uint32_t, uint64_t
 #include <string>   // for string
 
 #include "ibis/base/time.hpp"  // for milliseconds
@@ -19,6 +19,7 @@
   bool draining = false;             ///< The leaf takes no new work.
   base::milliseconds warm_up{0};     ///< How long the leaf is slow after its start.
   base::milliseconds started_at{0};  ///< Time since the Unix epoch.
+  std::uint64_t sequence = 0;        ///< Grows with each report of an incarnation.
 };
 
 }  // namespace ibis::serving
--- a/include/ibis/serving/node_records.hpp
+++ b/include/ibis/serving/node_records.hpp
@@ -35,6 +35,10 @@
 /// after a delay.
 void on_node_record_written(const node_record_written& event, context& ctx);
 
+/// Counts the nodes soon after the store was restored from an older copy, which may
+/// lack this node's record and those of others.
+void on_store_restored(context& ctx);
+
 /// Writes this node's record again when the delay after a failed write is over.
 void on_write_record_due(const timer& due, context& ctx);
 
--- a/include/ibis/serving/peer_replies.hpp
+++ b/include/ibis/serving/peer_replies.hpp
@@ -7,10 +7,12 @@
 
 /// Adds a change received from the store to the topic's history. Drops the oldest
 /// changes when the history exceeds `peer_settings::history_bytes`.
-void record_change(const topic_changed& change, context& ctx);
+/// @param revision That of the change, with its era.
+void record_change(const topic_changed& change, const store_revision& revision,
+                   context& ctx);
 
 /// Clears a topic's history; it covers changes after the given revision from now on.
-void restart_history(store_topic topic, std::uint64_t revision, context& ctx);
+void restart_history(store_topic topic, const store_revision& revision, context& ctx);
 
 /// Replies to a peer's query, or holds the query until there is a change to report or
 /// `peer_settings::wait` has passed.
--- a/include/ibis/serving/state.hpp
+++ b/include/ibis/serving/state.hpp
@@ -185,7 +185,7 @@
 
 /// Recent changes of a topic, which a node that watches the store keeps for its peers.
 struct topic_history {
-  std::uint64_t since = 0;  ///< `changes` has all changes after this revision.
+  store_revision since;  ///< `changes` has all changes after this revision.
   std::deque<topic_changed> changes;
   std::size_t bytes = 0;  ///< Total size of the changes' texts.
 };
@@ -214,7 +214,7 @@
   topic_phase phase = topic_phase::listing;
   std::uint64_t call_serial = 0;  ///< Identifies the current call or pause.
   base::time_point called_at{};   ///< When the current call began.
-  std::uint64_t revision = 0;     ///< Latest revision applied.
+  store_revision revision;        ///< Latest revision applied.
   bool listed = false;  ///< A complete listing that is known to be current was applied.
   bool stale_listing_tried = false;  ///< The one listing that may be stale is over.
   std::uint32_t failures = 0;        ///< Consecutive failed calls.
@@ -224,7 +224,7 @@
   bool checking = false;  ///< The current call checks whether a watch missed changes.
   listed_entries pages;   ///< Of a listing in progress.
   /// Oldest revision of the pages of an incomplete listing.
-  std::optional<std::uint64_t> listing_revision;
+  std::optional<store_revision> listing_revision;
   base::time_point listing_started_at{};
   std::string source;  ///< Name of the peer queried; empty for the store.
   topic_history history;
@@ -325,6 +325,7 @@
   admission::account_use account_use;   ///< Of leafs, for requests of this node.
   std::array<topic_state, store_topic_count> topics;
   std::set<std::string> evacuated_zones;  ///< As the store says.
+  std::uint64_t store_era = 0;            ///< The latest one known; 0 if none is.
   base::time_point store_unavailable_since{};
   base::time_point store_recovered_at{};  ///< Unset if it was never unavailable.
   bool store_unavailable = false;
--- a/include/ibis/wire/messages.hpp
+++ b/include/ibis/wire/messages.hpp
@@ -195,6 +195,7 @@
   std::uint64_t serial = 0;  ///< Identifies the call; repeated in the reply.
   std::uint8_t topic = 0;
   std::uint64_t revision = 0;
+  std::uint64_t era = 0;  ///< Of the store, in which `revision` counts; 0 if unknown.
   bool operator==(const topic_watch&) const = default;
 };
 
@@ -207,6 +208,7 @@
   std::vector<std::string> texts;  ///< The store's responses, unchanged.
   /// How long ago the sender's data was last known to match the store's.
   base::milliseconds age{0};
+  std::uint64_t era = 0;  ///< As in `topic_watch`.
   bool operator==(const topic_news&) const = default;
 };
 
--- a/src/ibis/reactor/peer_link.cpp
+++ b/src/ibis/reactor/peer_link.cpp
@@ -110,7 +110,7 @@
   if (watch != nullptr && watch->topic < serving::store_topic_count) {
     on_event_(serving::peer_query_received{
         node, static_cast<serving::store_topic>(watch->topic), watch->serial,
-        watch->revision});
+        serving::store_revision{watch->era, watch->revision}});
     return;
   }
   const auto* update = std::get_if<wire::topic_news>(&body);
@@ -128,7 +128,7 @@
                               {},
                               update.age};
   event.update.topic = static_cast<serving::store_topic>(update.topic);
-  event.update.revision = update.revision;
+  event.update.revision = {update.era, update.revision};
   for (const std::string& text : update.texts) {
     http::response response;
     response.status = status_ok;
@@ -150,16 +150,17 @@
   transport_.send(
       effect.to.node, wire::channel::control, effect.to.address,
       wire::topic_watch{effect.serial, static_cast<std::uint8_t>(effect.topic),
-                        effect.revision});
+                        effect.revision.number, effect.revision.era});
 }
 
 void peer_link::send_reply(const serving::reply_to_peer& effect) {
   wire::topic_news update{effect.serial,
                           static_cast<std::uint8_t>(effect.topic),
                           static_cast<std::uint8_t>(effect.kind),
-                          effect.revision,
+                          effect.revision.number,
                           {},
-                          effect.age};
+                          effect.age,
+                          effect.revision.era};
   for (const auto& text : effect.texts) {
     update.texts.push_back(*text);
   }
--- a/src/ibis/reactor/peer_link_test.cpp
+++ b/src/ibis/reactor/peer_link_test.cpp
@@ -36,8 +36,10 @@
 
   void handle_event(const serving::event& value) {
     if (const auto* query = std::get_if<serving::peer_query_received>(&value)) {
-      link.send_reply({query->node, query->topic, query->serial,
-                       peer_reply_status::changes, query->revision + 1, texts});
+      link.send_reply(
+          {query->node, query->topic, query->serial, peer_reply_status::changes,
+           serving::store_revision{query->revision.era, query->revision.number + 1},
+           texts});
     }
     if (const auto* reply = std::get_if<serving::peer_replied>(&value)) {
       received = *reply;
@@ -56,7 +58,7 @@
 serving::peer_replied send_query(asio::io_context& io, test_peer& from,
                                  const std::string& address) {
   from.received.reset();
-  from.link.send_query({{"watcher", address, "z"}, store_topic::leafs, 7, 41});
+  from.link.send_query({{"watcher", address, "z"}, store_topic::leafs, 7, {3, 41}});
   while (!from.received) {
     io.run_one();
   }
@@ -75,7 +77,7 @@
   CHECK(received.serial == 7);
   CHECK(received.kind == peer_reply_status::changes);
   CHECK(received.update.topic == store_topic::leafs);
-  CHECK(received.update.revision == 42);
+  CHECK(received.update.revision == serving::store_revision{3, 42});
   REQUIRE(received.update.leafs.size() == 2);
   CHECK(received.update.leafs[0].id == "a");
   CHECK(received.update.leafs[1].id == "b");
--- a/src/ibis/serving/evacuations_test.cpp
+++ b/src/ibis/serving/evacuations_test.cpp
@@ -37,7 +37,7 @@
                                const std::string& zone) {
   topic_changed change;
   change.topic = store_topic::leafs;
-  change.revision = revision;
+  change.revision = {1, revision};
   change.leafs.push_back({id, make_record(id, zone)});
   return change;
 }
@@ -45,7 +45,7 @@
 topic_changed make_zone_change(std::uint64_t revision, std::vector<zone_change> zones) {
   topic_changed change;
   change.topic = store_topic::evacuations;
-  change.revision = revision;
+  change.revision = {1, revision};
   change.zones = std::move(zones);
   return change;
 }
@@ -54,7 +54,7 @@
                             const std::string& next_page_after) {
   topic_listed page;
   page.topic = store_topic::evacuations;
-  page.revision = revision;
+  page.revision = {1, revision};
   page.next_page_after = next_page_after;
   page.zones.push_back({zone, true});
   return page;
@@ -121,7 +121,7 @@
   CHECK(knows_evacuations(node));
   const auto* watch = find_call<watch_topic>(out);
   REQUIRE(watch != nullptr);
-  CHECK(watch->revision == 12);
+  CHECK(watch->revision == store_revision{1, 12});
   reduce(node, make_zone_change(21, {{"za", false}}), start_time);
   CHECK(node.evacuated_zones == std::set<std::string>{"zb"});
 }
@@ -152,18 +152,19 @@
   start(node, start_time);
   reduce(node, make_zone_page(10, "za", ""), start_time);
   const base::time_point sent_at = start_time + std::chrono::seconds(2);
-  store_probed probed{true, sent_at, 50, std::vector<zone_change>{{"za", true}}};
+  store_probed probed{true, sent_at, store_revision{1, 50},
+                      std::vector<zone_change>{{"za", true}}};
   const effects same = reduce(node, probed, sent_at);
   CHECK(find_call<watch_topic>(same) == nullptr);
   CHECK(node.topics[static_cast<std::size_t>(store_topic::evacuations)].verified_at ==
         sent_at);
   probed.zones = std::vector<zone_change>{};
-  probed.revision = 60;
+  probed.revision = store_revision{1, 60};
   const effects different = reduce(node, probed, sent_at);
   const auto* watch = find_call<watch_topic>(different);
   REQUIRE(watch != nullptr);
   CHECK(watch->topic == store_topic::evacuations);
-  CHECK(watch->revision == 50);
+  CHECK(watch->revision == store_revision{1, 50});
 }
 
 // Guards against probes of the store by all nodes for the whole wait of a watch that
@@ -291,7 +292,7 @@
   node_state node = make_node(following_settings(), 1);
   start(node, start_time);
   topic_listed configuration;
-  configuration.revision = 5;
+  configuration.revision = {1, 5};
   catalog value;
   value.version = 1;
   index_routes(value);
--- a/src/ibis/serving/node_records.cpp
+++ b/src/ibis/serving/node_records.cpp
@@ -206,6 +206,15 @@
       spread_backoff(record_backoff(ctx.node), records.count_failures, ctx.node), ctx);
 }
 
+void on_store_restored(context& ctx) {
+  // Nodes spread their counts, since all of them notice the restoration.
+  constexpr base::milliseconds max_delay{1000};
+  ctx.node.records.written_at.reset();
+  const auto delay = std::chrono::duration_cast<base::milliseconds>(
+      max_delay * random_fraction(ctx.node));
+  schedule_count(delay, ctx);
+}
+
 void on_node_record_written(const node_record_written& event, context& ctx) {
   node_records_state& records = ctx.node.records;
   if (event.written) {
--- a/src/ibis/serving/peer_replies.cpp
+++ b/src/ibis/serving/peer_replies.cpp
@@ -37,18 +37,29 @@
   history.bytes = 0;
 }
 
+/// @return The revision of a query. Without an era, it is taken for one of the present
+/// era if that has reached its number.
+store_revision revision_of(const peer_query_received& query, const topic_state& state) {
+  store_revision revision = query.revision;
+  if (revision.era == 0 && revision.number <= state.revision.number) {
+    revision.era = state.revision.era;
+  }
+  return revision;
+}
+
 void reply(const peer_query_received& query, peer_reply_status kind, context& ctx) {
   const topic_state& state = state_of(query.topic, ctx);
+  const store_revision since = revision_of(query, state);
   reply_to_peer answer{query.node,
                        query.topic,
                        query.serial,
                        kind,
-                       std::max(query.revision, state.revision),
+                       std::max(since, state.revision),
                        {},
                        view_age(state, ctx.now)};
   if (kind == peer_reply_status::changes) {
     for (const topic_changed& change : state.history.changes) {
-      if (change.revision > query.revision) {
+      if (change.revision > since) {
         answer.texts.push_back(change.text);
       }
     }
@@ -56,7 +67,7 @@
   ctx.out.emplace_back(std::move(answer));
 }
 
-bool has_changes_after(const topic_state& state, std::uint64_t since) {
+bool has_changes_after(const topic_state& state, const store_revision& since) {
   return !state.history.changes.empty() &&
          state.history.changes.back().revision > since;
 }
@@ -66,19 +77,23 @@
 bool try_reply(const waiting_peer& waiting, context& ctx) {
   const peer_query_received& query = waiting.query;
   const topic_state& state = state_of(query.topic, ctx);
+  const store_revision since = revision_of(query, state);
   const bool wait_over = ctx.now >= waiting.until;
-  if (cannot_serve_peers(state, ctx) || (wait_over && !is_current(state))) {
+  // The peer knows of a later era than this node.
+  const bool is_behind = since.era > state.revision.era;
+  if (cannot_serve_peers(state, ctx) || is_behind ||
+      (wait_over && !is_current(state))) {
     reply(query, peer_reply_status::not_following, ctx);
     return true;
   }
   if (!is_current(state)) {
     return false;
   }
-  if (query.revision < state.history.since) {
+  if (since < state.history.since) {
     reply(query, peer_reply_status::history_dropped, ctx);
     return true;
   }
-  if (wait_over || has_changes_after(state, query.revision)) {
+  if (wait_over || has_changes_after(state, since)) {
     reply(query, peer_reply_status::changes, ctx);
     return true;
   }
@@ -96,14 +111,16 @@
 
 }  // namespace
 
-void record_change(const topic_changed& change, context& ctx) {
+void record_change(const topic_changed& change, const store_revision& revision,
+                   context& ctx) {
   topic_history& history = state_of(change.topic, ctx).history;
   if (!change.text) {
-    restart_history(change.topic, change.revision, ctx);
+    restart_history(change.topic, revision, ctx);
     return;
   }
   drop_superseded(history, change.topic);
   history.changes.push_back(change);
+  history.changes.back().revision = revision;
   history.bytes += change.text->size();
   while (history.bytes > ctx.node.settings.peers.history_bytes &&
          history.changes.size() > 1) {
@@ -113,7 +130,7 @@
   }
 }
 
-void restart_history(store_topic topic, std::uint64_t revision, context& ctx) {
+void restart_history(store_topic topic, const store_revision& revision, context& ctx) {
   state_of(topic, ctx).history = {revision, {}, 0};
 }
 
--- a/src/ibis/serving/registry.cpp
+++ b/src/ibis/serving/registry.cpp
@@ -80,9 +80,14 @@
          before.address == after.address;
 }
 
-/// Whether a record was written by an earlier incarnation than the known one.
+/// Whether a record was written before the known one: by an earlier incarnation, or
+/// before the leaf began to drain, which it never takes back. A store that was restored
+/// from a copy has such records.
 bool is_outdated(const leaf_record& before, const leaf_record& after) {
-  return after.started_at < before.started_at;
+  const bool same_start = after.started_at == before.started_at;
+  const bool undoes_draining = before.draining && !after.draining;
+  return after.started_at < before.started_at ||
+         (same_start && undoes_draining && after.sequence < before.sequence);
 }
 
 void update_leaf(const leaf_ptr& leaf, const leaf_record& record, context& ctx) {
@@ -166,6 +171,10 @@
     mark_expired(found->second, ctx);
     return;
   }
+  if (leaf.record.draining) {
+    // A store that is restored from a copy may list it again.
+    remember_notice(id, leaf.record.started_at, ctx);
+  }
   remove_leaf(id, ctx);
 }
 
--- a/src/ibis/serving/registry_test.cpp
+++ b/src/ibis/serving/registry_test.cpp
@@ -26,12 +26,14 @@
   registry_of_one() {
     start(node, start_time);
     reduce(node,
-           topic_listed{store_topic::leafs, 10, "", {make_change(first_start)}, {}, {}},
+           topic_listed{
+               store_topic::leafs, {1, 10}, "", {make_change(first_start)}, {}, {}},
            start_time);
   }
 
   void change(const leaf_change& value) {
-    reduce(node, topic_changed{store_topic::leafs, ++revision, {value}, {}, {}, {}},
+    reduce(node,
+           topic_changed{store_topic::leafs, {1, ++revision}, {value}, {}, {}, {}},
            start_time);
   }
 
@@ -84,7 +86,7 @@
 TEST_CASE("Changes of entries that name no leaf delay no leaf's removal") {
   constexpr int odd_entries = 10;
   registry_of_one registry;
-  topic_changed changed{store_topic::leafs, 11, {}, {}, {}, {}};
+  topic_changed changed{store_topic::leafs, {1, 11}, {}, {}, {}, {}};
   for (int i = 0; i < odd_entries; ++i) {
     changed.leafs.push_back({"odd " + std::to_string(i), std::nullopt});
   }
--- a/src/ibis/serving/store_follower.cpp
+++ b/src/ibis/serving/store_follower.cpp
@@ -9,6 +9,7 @@
 #include "ibis/serving/holders.hpp"        // for update_holders
 #include "ibis/serving/peer_replies.hpp"   // for record_change, reply_to_waiting_peers
 #include "ibis/serving/registry.hpp"       // for apply_changes, apply_listing
+#include "ibis/serving/store_era.hpp"      // for note_store_era
 #include "ibis/serving/topic_calls.hpp"    // for followed_topics, start_watch
 #include "ibis/serving/update_source.hpp"  // for forget_peer_failures
 #include "ibis/serving/view_age.hpp"       // for mark_verified, view_age
@@ -36,7 +37,7 @@
   const topic_state& state = state_of(topic, ctx);
   ctx.log(name, {{"topic", name_of(topic)},
                  {"source", state.source.empty() ? "store" : state.source},
-                 {"revision", std::to_string(state.revision)},
+                 {"revision", to_string(state.revision)},
                  {"entries", std::to_string(entries)},
                  {"view_age_ms", std::to_string(view_age(state, ctx.now).count())}});
 }
@@ -81,12 +82,29 @@
                         ctx.node);
 }
 
+/// Whether an answer of the store may be used. If not, the topic is listed again.
+bool accept_answer(store_topic topic, const store_revision& revision, context& ctx) {
+  const era_order order = note_store_era(revision.era, ctx);
+  if (order == era_order::earlier) {
+    topic_state& state = state_of(topic, ctx);
+    ctx.log("outdated_store_answer_ignored",
+            {{"topic", name_of(topic)},
+             {"revision", to_string(revision)},
+             {"known", to_string(state.revision)}},
+            true);
+    state.pages = {};
+    state.stale_listing_tried = true;
+    resume_after(topic, ctx.node.settings.store.backoff, topic_phase::listing, ctx);
+  }
+  return order == era_order::current;
+}
+
 void handle_call_failure(store_topic topic, store_failure failure,
                          const std::string& detail, context& ctx) {
   topic_state& state = state_of(topic, ctx);
   if (failure == store_failure::history_dropped) {
     ctx.log("store_history_dropped",
-            {{"topic", name_of(topic)}, {"revision", std::to_string(state.revision)}});
+            {{"topic", name_of(topic)}, {"revision", to_string(state.revision)}});
     resume_after(topic, base::milliseconds(0), topic_phase::listing, ctx);
     return;
   }
@@ -141,10 +159,20 @@
   }
 }
 
-/// Applies the changes in a peer's reply. A peer whose data is outdated is avoided.
+/// Applies the changes in a peer's reply. A peer whose data is outdated is avoided. One
+/// that states no era cannot tell that the store was restored.
 void apply_peer_changes(const peer_replied& event, context& ctx) {
   const store_topic topic = event.update.topic;
   topic_state& state = state_of(topic, ctx);
+  if (event.update.revision.era < state.revision.era) {
+    drop_source(topic, "earlier_era", ctx);
+    resume_following(topic, ctx);
+    return;
+  }
+  if (event.update.revision.era > state.revision.era) {
+    start_listing(topic, "", ctx);
+    return;
+  }
   forget_peer_failures(event.node, ctx);
   mark_verified(state, ctx.now - event.age);
   state.revision = std::max(state.revision, event.update.revision);
@@ -209,11 +237,15 @@
 void on_topic_listed(const topic_listed& event, context& ctx) {
   topic_state& state = state_of(event.topic, ctx);
   record_success(event.topic, ctx);
+  if (!accept_answer(event.topic, event.revision, ctx)) {
+    return;
+  }
   apply_catalog(event.configuration, ctx);
   // Pages differ in age, either way if they may be stale. A watch from the oldest one's
   // revision repeats all changes that any of them lacks.
-  const std::uint64_t revision =
-      std::min(state.listing_revision.value_or(event.revision), event.revision);
+  const store_revision page_revision = complete_revision(event.revision, ctx);
+  const store_revision revision =
+      std::min(state.listing_revision.value_or(page_revision), page_revision);
   state.listing_revision = revision;
   listed_entries& pages = state.pages;
   pages.leafs.insert(pages.leafs.end(), event.leafs.begin(), event.leafs.end());
@@ -243,20 +275,28 @@
 void on_topic_changed(const topic_changed& event, context& ctx) {
   topic_state& state = state_of(event.topic, ctx);
   record_success(event.topic, ctx);
+  if (!accept_answer(event.topic, event.revision, ctx)) {
+    return;
+  }
+  const store_revision revision = complete_revision(event.revision, ctx);
+  if (state.revision.era != 0 && state.revision.era != revision.era) {
+    list_again(event.topic, ctx);
+    return;
+  }
   mark_verified(state, ctx.now);
   const bool empty = !has_changes(event);
   if (state.checking && !empty) {
     ctx.log("watch_missed_changes", {{"topic", name_of(event.topic)},
-                                     {"watched_from", std::to_string(state.revision)},
-                                     {"revision", std::to_string(event.revision)}});
+                                     {"watched_from", to_string(state.revision)},
+                                     {"revision", to_string(event.revision)}});
   }
-  state.revision = event.revision;
+  state.revision = revision;
   state.listed = true;
   if (empty) {
     start_watch(event.topic, ctx);
     return;
   }
-  record_change(event, ctx);
+  record_change(event, revision, ctx);
   apply_update(event, ctx);
   reply_to_waiting_peers(ctx);
   resume_after(event.topic, pause_after_change(event.topic, ctx.node.settings.store),
--- a/src/ibis/serving/store_follower_test.cpp
+++ b/src/ibis/serving/store_follower_test.cpp
@@ -24,7 +24,7 @@
 topic_listed make_page(std::uint64_t revision, const std::string& leaf,
                        const std::string& next_page_after) {
   return {store_topic::leafs,
-          revision,
+          {1, revision},
           next_page_after,
           {{leaf, make_record(leaf, false)}},
           nullptr,
@@ -61,7 +61,7 @@
   CHECK(node.topics[1].verified_at == second_start);
   const watch_topic* watch = find_watch(out);
   REQUIRE(watch != nullptr);
-  CHECK(watch->revision == 10);
+  CHECK(watch->revision == store_revision{1, 10});
 }
 
 // Guards against a leaf that has left and is used until it ends: a later page of a
@@ -75,8 +75,9 @@
   const effects out = reduce(node, make_page(20, "c", ""), start_time);
   const watch_topic* watch = find_watch(out);
   REQUIRE(watch != nullptr);
-  CHECK(watch->revision == 12);
-  reduce(node, topic_changed{store_topic::leafs, 21, {{"b", std::nullopt}}, {}, {}, {}},
+  CHECK(watch->revision == store_revision{1, 12});
+  reduce(node,
+         topic_changed{store_topic::leafs, {1, 21}, {{"b", std::nullopt}}, {}, {}, {}},
          start_time);
   CHECK_FALSE(node.leafs.contains("b"));
 }
@@ -85,7 +86,7 @@
   node_state node = make_node({}, 1);
   start(node, start_time);
   reduce(node, make_page(10, "a", ""), start_time);
-  topic_changed changed{store_topic::leafs, 15, {}, nullptr, nullptr, {}};
+  topic_changed changed{store_topic::leafs, {1, 15}, {}, nullptr, nullptr, {}};
   changed.leafs.push_back({"a", make_record("a", true)});
   reduce(node, changed, start_time);
   // The watch that follows a listing may repeat changes that the listing had.
--- a/src/ibis/serving/store_probe.cpp
+++ b/src/ibis/serving/store_probe.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>  // for max
 
 #include "ibis/serving/evacuations.hpp"     // for matches_zone_listing
+#include "ibis/serving/store_era.hpp"       // for note_store_era
 #include "ibis/serving/store_follower.hpp"  // for depends_on_store, record_failure
 #include "ibis/serving/topic_calls.hpp"     // for check_watch, followed_topics
 #include "ibis/serving/update_source.hpp"   // for choose_update_source
@@ -53,13 +54,14 @@
   if (state.phase != topic_phase::watching || !state.source.empty()) {
     return;
   }
+  const store_revision revision = complete_revision(*event.revision, ctx);
   const bool current = topic == store_topic::evacuations && event.zones &&
                        matches_zone_listing(ctx.node, *event.zones);
   if (current) {
     // The store soon drops the history of an older revision.
-    state.revision = std::max(state.revision, *event.revision);
+    state.revision = std::max(state.revision, revision);
   }
-  if (*event.revision <= state.revision) {
+  if (revision <= state.revision) {
     mark_verified(state, event.sent_at);
     return;
   }
@@ -103,6 +105,10 @@
 
 void on_store_probed(const store_probed& event, context& ctx) {
   const bool was_unavailable = ctx.node.store_unavailable;
+  if (event.revision &&
+      note_store_era(event.revision->era, ctx) != era_order::current) {
+    return;
+  }
   for (const store_topic topic : followed_topics(ctx.node.settings)) {
     if (!event.answered) {
       replace_lost_watch(topic, event, ctx);
--- a/src/ibis/serving/topic_calls.cpp
+++ b/src/ibis/serving/topic_calls.cpp
@@ -26,7 +26,7 @@
   state.source = source;
   ctx.log("update_source_changed", {{"topic", name_of(topic)},
                                     {"source", source.empty() ? "store" : source},
-                                    {"revision", std::to_string(state.revision)}});
+                                    {"revision", to_string(state.revision)}});
   reply_to_waiting_peers(ctx);
 }
 
--- a/src/ibis/serving/view_age.cpp
+++ b/src/ibis/serving/view_age.cpp
@@ -8,7 +8,7 @@
 /// Share of the propagation limit that passes between two revision checks.
 constexpr int checks_per_limit = 3;
 /// How long a peer may hold a query.
-constexpr base::milliseconds shortest_hold{500};
+constexpr base::milliseconds shortest_hold{100};
 constexpr base::milliseconds longest_hold{1000};
 /// How long a message between two nodes travels at most.
 constexpr base::milliseconds peer_transit{100};
--- a/src/ibis/wire/codec.cpp
+++ b/src/ibis/wire/codec.cpp
@@ -168,17 +168,17 @@
                .Union());
   }
   void operator()(const topic_watch& value) const {
-    finish(
-        fb::body::topic_watch,
-        fb::Createtopic_watch(out, value.serial, value.topic, value.revision).Union());
+    finish(fb::body::topic_watch, fb::Createtopic_watch(out, value.serial, value.topic,
+                                                        value.revision, value.era)
+                                      .Union());
   }
   void operator()(const topic_news& value) const {
     const auto texts = out.CreateVectorOfStrings(value.texts);
-    finish(
-        fb::body::topic_news,
-        fb::Createtopic_news(out, value.serial, value.topic, value.kind, value.revision,
-                             texts, static_cast<std::uint64_t>(value.age.count()))
-            .Union());
+    finish(fb::body::topic_news,
+           fb::Createtopic_news(
+               out, value.serial, value.topic, value.kind, value.revision, texts,
+               static_cast<std::uint64_t>(value.age.count()), value.era)
+               .Union());
   }
   void operator()(const shards_request& value) const {
     const auto route = out.CreateString(value.route);
@@ -343,7 +343,8 @@
                    source.kind(),
                    source.revision(),
                    {},
-                   base::milliseconds(source.age_ms())};
+                   base::milliseconds(source.age_ms()),
+                   source.era()};
   if (source.texts() != nullptr) {
     for (const auto* text : *source.texts()) {
       value.texts.push_back(read_string(text));
@@ -472,7 +473,8 @@
       return read(*frame.body_as_part_reply());
     case fb::body::topic_watch: {
       const auto& source = *frame.body_as_topic_watch();
-      return message(topic_watch{source.serial(), source.topic(), source.revision()});
+      return message(topic_watch{source.serial(), source.topic(), source.revision(),
+                                 source.era()});
     }
     case fb::body::topic_news:
       return read(*frame.body_as_topic_news());
--- a/src/ibis/wire/codec_test.cpp
+++ b/src/ibis/wire/codec_test.cpp
@@ -121,10 +121,10 @@
       "north-desk", 8,    5,   base::milliseconds(600), base::milliseconds(70), 9,
       "n-4",        true, true};
   CHECK(std::get<quota_grant>(round_trip(grant)) == grant);
-  const topic_watch watch{3, 1, 77};
+  const topic_watch watch{3, 1, 77, 5};
   CHECK(std::get<topic_watch>(round_trip(watch)) == watch);
   const topic_news news{
-      3, 1, 2, 79, {"{}", std::string("a\0b", 3)}, base::milliseconds(1700)};
+      3, 1, 2, 79, {"{}", std::string("a\0b", 3)}, base::milliseconds(1700), 5};
   CHECK(std::get<topic_news>(round_trip(news)) == news);
 }
 
--- a/standins/follower_fleet.cpp
+++ b/standins/follower_fleet.cpp
@@ -1,6 +1,7 @@
 #include "follower_fleet.hpp"
 
 #include <algorithm>  // for count_if
+#include <tuple>      // for tie
 #include <utility>    // for move
 
 #include "serving_fleet.hpp"  // for make_catalog
@@ -108,13 +109,32 @@
 }
 
 void follower_fleet::publish_change(serving::topic_changed change) {
-  change.revision = ++revision_;
+  change.revision = {era_, ++revision_};
   changes_.push_back(std::move(change));
   complete_watches();
 }
 
 void follower_fleet::drop_history() {
   oldest_revision_ = ++revision_;
+  cut_watches();
+}
+
+void follower_fleet::take_backup() {
+  backup_ = {revision_, changes_, configuration_, leafs_, evacuated_zones_};
+}
+
+void follower_fleet::restore_backup() {
+  restore_backup_silently();
+  cut_watches();
+}
+
+void follower_fleet::restore_backup_silently() {
+  silence_watches();
+  ++era_;
+  std::tie(revision_, changes_, configuration_, leafs_, evacuated_zones_) = backup_;
+}
+
+void follower_fleet::cut_watches() {
   const auto closed_watches = std::move(watches_);
   watches_.clear();
   for (const pending_watch& watch : closed_watches) {
@@ -237,7 +257,7 @@
             [this, node, answered, served, sent_at = probe->sent_at] {
               serving::store_probed probed{answered, sent_at, {}};
               if (served) {
-                probed.revision = revision_;
+                probed.revision = serving::store_revision{era_, revision_};
               }
               deliver_event(node, probed);
             });
@@ -265,7 +285,7 @@
     }
     serving::topic_listed listed;
     listed.topic = effect.topic;
-    listed.revision = revision_;
+    listed.revision = {era_, revision_};
     if (effect.topic == serving::store_topic::configuration) {
       listed.configuration = configuration_;
     } else if (effect.topic == serving::store_topic::evacuations) {
@@ -297,7 +317,7 @@
       return;
     }
     watches_.push_back(
-        {node, effect.topic, serial, effect.revision, now_ + effect.wait});
+        {node, effect.topic, serial, effect.revision.number, now_ + effect.wait});
     after(effect.wait, [this] { complete_watches(); });
     complete_watches();
   });
@@ -313,7 +333,7 @@
   if (cut_off || (watch.silenced && !wait_over)) {
     return false;
   }
-  if (watch.revision < oldest_revision_) {
+  if (watch.revision < oldest_revision_ || watch.revision > revision_) {
     after(store_delay, [this, watch] {
       deliver_event(watch.node,
                     serving::store_call_failed{
@@ -338,9 +358,9 @@
                                                      std::uint64_t revision) {
   serving::topic_changed changes;
   changes.topic = topic;
-  changes.revision = revision_;
+  changes.revision = {era_, revision_};
   for (const serving::topic_changed& change : changes_) {
-    if (change.topic != topic || change.revision <= revision) {
+    if (change.topic != topic || change.revision.number <= revision) {
       continue;
     }
     changes.leafs.insert(changes.leafs.end(), change.leafs.begin(), change.leafs.end());
@@ -348,7 +368,8 @@
     changes.configuration = change.configuration;
   }
   const std::string text = std::to_string(static_cast<int>(topic)) + ' ' +
-                           std::to_string(revision) + ' ' + std::to_string(revision_);
+                           std::to_string(revision) + ' ' + std::to_string(revision_) +
+                           ' ' + std::to_string(era_);
   changes_by_text_[text] = changes;
   changes.text = std::make_shared<const std::string>(text);
   return changes;
@@ -380,10 +401,15 @@
   after(peer_delay, [this, node, effect] {
     deliver_event(effect.to.node,
                   serving::peer_query_received{node, effect.topic, effect.serial,
-                                               effect.revision});
+                                               stated_revision(node, effect.revision)});
   });
 }
 
+serving::store_revision follower_fleet::stated_revision(
+    const std::string& node, const serving::store_revision& revision) const {
+  return {nodes.at(node).states_no_era ? 0 : revision.era, revision.number};
+}
+
 void follower_fleet::on_reply_to_peer(const std::string& node,
                                       const serving::reply_to_peer& effect) {
   if (!can_reach(node, effect.node)) {
@@ -391,7 +417,7 @@
   }
   serving::peer_replied reply{node, effect.serial, effect.kind, {}, effect.age};
   reply.update.topic = effect.topic;
-  reply.update.revision = effect.revision;
+  reply.update.revision = stated_revision(node, effect.revision);
   for (const auto& text : effect.texts) {
     const serving::topic_changed& change = changes_by_text_.at(*text);
     reply.update.leafs.insert(reply.update.leafs.end(), change.leafs.begin(),
--- a/standins/follower_fleet.hpp
+++ b/standins/follower_fleet.hpp
@@ -7,6 +7,7 @@
 #include <map>         // for map
 #include <set>         // for set
 #include <string>      // for string
+#include <tuple>       // for tuple
 #include <vector>      // for vector
 
 #include "ibis/serving/node.hpp"  // for node_state
@@ -28,8 +29,10 @@
     /// The store answers its calls with "busy", and its open watches with nothing.
     bool rejected_by_store = false;
     bool partitioned_from_store = false;  ///< Its calls of the store get no answer.
-    std::uint64_t watch_count = 0;        ///< Watch calls that it made to the store.
-    std::uint64_t list_count = 0;         ///< List calls that it made to the store.
+    /// It is of an earlier release, whose messages to its peers have no era.
+    bool states_no_era = false;
+    std::uint64_t watch_count = 0;  ///< Watch calls that it made to the store.
+    std::uint64_t list_count = 0;   ///< List calls that it made to the store.
     /// List, watch and peer calls about evacuations.
     std::uint64_t evacuation_calls = 0;
   };
@@ -60,6 +63,14 @@
   /// Silences the open watches and drops the store's history of changes, so that
   /// watches from an older revision fail.
   void drop_history_silently();
+  /// Keeps a copy of the store's data.
+  void take_backup();
+  /// Restores the store from that copy: what was written since is lost, and a new era
+  /// begins. Open watches are disconnected.
+  void restore_backup();
+  /// Restores the store as `restore_backup` does, but the open watches get no changes
+  /// any more.
+  void restore_backup_silently();
   /// Advances the virtual time and runs everything that becomes due.
   void run_for(base::duration time);
 
@@ -99,6 +110,11 @@
   void on_reply_to_peer(const std::string& node, const serving::reply_to_peer& effect);
   void publish_change(serving::topic_changed change);
   void complete_watches();
+  /// Disconnects the open watches.
+  void cut_watches();
+  /// @return A revision as a node's message to a peer states it.
+  [[nodiscard]] serving::store_revision stated_revision(
+      const std::string& node, const serving::store_revision& revision) const;
   /// @return Whether the watch is over: answered, failed or replaced by a later call.
   bool try_complete(const pending_watch& watch);
   [[nodiscard]] bool can_reach(const std::string& from, const std::string& to) const;
@@ -107,12 +123,17 @@
 
   base::time_point now_{std::chrono::hours(1)};
   virtual_queue queue_;
+  std::uint64_t era_ = 1;
   std::uint64_t revision_ = 1;
   std::uint64_t oldest_revision_ = 0;  ///< Watches from an older one must list again.
   std::vector<serving::topic_changed> changes_;
   serving::catalog_ptr configuration_;
   std::map<std::string, serving::leaf_record> leafs_;
   std::set<std::string> evacuated_zones_;
+  /// Revision, changes, configuration, leafs and evacuations of the latest backup.
+  std::tuple<std::uint64_t, std::vector<serving::topic_changed>, serving::catalog_ptr,
+             std::map<std::string, serving::leaf_record>, std::set<std::string>>
+      backup_;
   std::vector<pending_watch> watches_;
   /// The serial number of each node's last call for each topic; earlier calls are
   /// obsolete.
--- a/standins/holder_fleet.cpp
+++ b/standins/holder_fleet.cpp
@@ -44,7 +44,7 @@
   for (const auto& [name, node] : nodes) {
     serving::topic_changed change;
     change.topic = serving::store_topic::leafs;
-    change.revision = node.state.topics[1].revision + 1;
+    change.revision = {1, node.state.topics[1].revision.number + 1};
     change.leafs.push_back({id, std::nullopt});
     deliver_event(name, change);
   }
@@ -54,7 +54,7 @@
   for (const auto& [name, node] : nodes) {
     serving::topic_changed change;
     change.topic = serving::store_topic::evacuations;
-    change.revision = node.state.topics[2].revision + 1;
+    change.revision = {1, node.state.topics[2].revision.number + 1};
     change.zones.push_back({zone, true});
     deliver_event(name, change);
   }
@@ -70,11 +70,11 @@
 
 void holder_fleet::start_node(const std::string& name) {
   serving::topic_listed configuration;
-  configuration.revision = 1;
+  configuration.revision = {1, 1};
   configuration.configuration = configuration_;
   serving::topic_listed listing;
   listing.topic = serving::store_topic::leafs;
-  listing.revision = 1;
+  listing.revision = {1, 1};
   for (const auto& [id, leaf] : leafs) {
     listing.leafs.push_back({id, leaf.record});
   }
@@ -94,7 +94,7 @@
   if (nodes.at(name).state.settings.store.follow_evacuations) {
     serving::topic_listed evacuations;
     evacuations.topic = serving::store_topic::evacuations;
-    evacuations.revision = 1;
+    evacuations.revision = {1, 1};
     deliver_event(name, evacuations);
   }
 }
@@ -246,7 +246,8 @@
       nodes.at(node).aborted_requests = done->aborted_requests;
     } else if (const auto* probe = std::get_if<serving::probe_store>(&effect)) {
       after(milliseconds(1), [this, node, sent_at = probe->sent_at] {
-        deliver_event(node, serving::store_probed{true, sent_at, 0});
+        deliver_event(
+            node, serving::store_probed{true, sent_at, serving::store_revision{1, 0}});
       });
     }
   }
--- a/standins/serving_fleet.cpp
+++ b/standins/serving_fleet.cpp
@@ -209,7 +209,7 @@
     } else if (const auto* list = std::get_if<serving::list_topic>(&effect)) {
       on_store_call(list->topic, true, 0);
     } else if (const auto* watch = std::get_if<serving::watch_topic>(&effect)) {
-      on_store_call(watch->topic, false, watch->revision);
+      on_store_call(watch->topic, false, watch->revision.number);
       end_watch_after(watch->topic, watch->wait);
     } else if (const auto* cancel = std::get_if<serving::cancel_store_call>(&effect)) {
       calls_[cancel->topic].active = false;
@@ -220,7 +220,7 @@
             [this, answered, sent_at = probe->sent_at] {
               serving::store_probed probed{answered, sent_at, {}};
               if (store_mode_ == store_mode::healthy) {
-                probed.revision = revision_;
+                probed.revision = serving::store_revision{1, revision_};
               }
               deliver_event(probed);
             });
@@ -399,7 +399,8 @@
     pending_call& call = calls_[topic];
     if (call.active && call.serial == serial && store_mode_ == store_mode::healthy) {
       call.active = false;
-      deliver_event(serving::topic_changed{topic, revision_, {}, nullptr, nullptr, {}});
+      deliver_event(
+          serving::topic_changed{topic, {1, revision_}, {}, nullptr, nullptr, {}});
     }
   });
 }
@@ -446,7 +447,7 @@
 serving::event serving_fleet::make_listing(serving::store_topic topic) const {
   serving::topic_listed event;
   event.topic = topic;
-  event.revision = revision_;
+  event.revision = {1, revision_};
   if (topic == serving::store_topic::configuration) {
     event.configuration = configuration_;
     return event;
@@ -469,7 +470,7 @@
                                            std::uint64_t since) const {
   serving::topic_changed event;
   event.topic = topic;
-  event.revision = revision_;
+  event.revision = {1, revision_};
   if (topic == serving::store_topic::configuration) {
     event.configuration = configuration_revision_ > since ? configuration_ : nullptr;
     return event;
