--- a/include/ibis/serving/state.hpp
+++ b/include/ibis/serving/state.hpp
@@ -207,6 +207,7 @@
 struct listed_entries {
   std::vector<leaf_change> leafs;
   std::vector<zone_change> zones;
+  std::set<std::string> positions;  ///< Keys after which further pages began.
 };
 
 /// How far a node has followed a topic of the store.
--- a/src/ibis/serving/store_follower.cpp
+++ b/src/ibis/serving/store_follower.cpp
@@ -122,6 +122,13 @@
   resume_after(topic, backoff(state, ctx), topic_phase::listing, ctx);
 }
 
+/// Ends a listing that has come back to a page that it had before.
+void fail_endless_listing(const topic_listed& page, context& ctx) {
+  state_of(page.topic, ctx).pages = {};
+  handle_call_failure(page.topic, store_failure::unreadable,
+                      "the listing comes back to " + page.next_page_after, ctx);
+}
+
 /// Applies changes, whoever reported them.
 void apply_update(const topic_changed& update, context& ctx) {
   if (!has_changes(update)) {
@@ -251,6 +258,10 @@
   pages.leafs.insert(pages.leafs.end(), event.leafs.begin(), event.leafs.end());
   pages.zones.insert(pages.zones.end(), event.zones.begin(), event.zones.end());
   if (!event.next_page_after.empty()) {
+    if (!pages.positions.insert(event.next_page_after).second) {
+      fail_endless_listing(event, ctx);
+      return;
+    }
     start_listing(event.topic, event.next_page_after, ctx);
     return;
   }
--- a/src/ibis/serving/store_follower_test.cpp
+++ b/src/ibis/serving/store_follower_test.cpp
@@ -82,6 +82,19 @@
   CHECK_FALSE(node.leafs.contains("b"));
 }
 
+// Guards against a listing without end, of a store that does not find a position.
+TEST_CASE("A listing that comes back to a page is tried again later") {
+  node_state node = make_node({}, 1);
+  start(node, start_time);
+  reduce(node, make_page(10, "a", "a"), start_time);
+  reduce(node, make_page(10, "b", "b"), start_time);
+  const effects out = reduce(node, make_page(10, "a", "a"), start_time);
+  CHECK(std::none_of(out.begin(), out.end(), [](const effect& value) {
+    return std::holds_alternative<list_topic>(value);
+  }));
+  CHECK(node.topics[1].paused);
+}
+
 TEST_CASE("Of several changes of a leaf in one answer only the last one is applied") {
   node_state node = make_node({}, 1);
   start(node, start_time);
