--- a/tests/serving_lost_nodes_test.cpp
+++ b/tests/serving_lost_nodes_test.cpp
@@ -4,8 +4,8 @@
 #include <random>            // for mt19937_64
 #include <vector>            // for vector
 
-#include "follower_fleet.hpp"         // for follower_fleet
-#include "ibis/serving/view_age.hpp"  // for fit_propagation
+#include "follower_fleet.hpp"  // for follower_fleet
+#include "zone_fleet.hpp"      // for populate_zone, check_propagation
 
 namespace ibis::tests {
 namespace {
@@ -15,53 +15,6 @@
 using std::chrono::seconds;
 
 constexpr std::size_t node_count = 32;
-/// How soon a change must be in force at all nodes; the smallest site requires this.
-constexpr milliseconds propagation_limit{3000};
-
-void add_node(follower_fleet& fleet, const std::string& name) {
-  serving::node_settings settings;
-  serving::fit_propagation(settings, propagation_limit);
-  settings.store.follow_evacuations = true;
-  settings.node = name;
-  settings.availability_zone = "zone";
-  fleet.add_node(settings);
-}
-
-/// Starts the nodes of an availability zone, which know each other and follow two of
-/// them.
-void populate(follower_fleet& fleet) {
-  fleet.configure(1);
-  for (std::size_t i = 0; i < node_count; ++i) {
-    add_node(fleet, "node-" + std::to_string(i));
-  }
-  fleet.run_for(seconds(1));
-  fleet.announce_nodes();
-  fleet.configure(2);
-  fleet.add_leaf("leaf-2");
-  fleet.run_for(seconds(4));
-}
-
-std::size_t count_alive(const follower_fleet& fleet) {
-  std::size_t alive = 0;
-  for (const auto& [name, node] : fleet.nodes) {
-    alive += node.alive ? 1 : 0;
-  }
-  return alive;
-}
-
-/// Changes each topic, and checks that all nodes that are left apply it in time.
-void check_propagation(follower_fleet& fleet, std::uint64_t version) {
-  const std::string name = std::to_string(version);
-  fleet.configure(version);
-  fleet.add_leaf("leaf-" + name);
-  fleet.evacuate("zone-" + name);
-  fleet.run_for(propagation_limit);
-  INFO("version " << version);
-  CHECK(fleet.count_nodes_at_version(version) == count_alive(fleet));
-  CHECK(fleet.count_nodes_knowing_leaf("leaf-" + name) == count_alive(fleet));
-  CHECK(fleet.count_nodes_evacuating("zone-" + name) == count_alive(fleet));
-}
-
 /// @return The nodes that watch the leafs at the store.
 std::vector<std::string> find_watchers(const follower_fleet& fleet) {
   std::vector<std::string> watchers;
@@ -85,7 +38,7 @@
   const milliseconds second_phase(random() % 1000);
   const milliseconds fails_after(random() % 2000);
   follower_fleet fleet;
-  populate(fleet);
+  populate_zone(fleet, node_count);
   // The queries of the other nodes begin when this change has reached them.
   fleet.run_for(first_phase);
   for (int leaf = 0; leaf < removed; ++leaf) {
@@ -122,7 +75,7 @@
     for (std::uint64_t seed = 1; seed <= 5; ++seed) {
       INFO(left << " nodes left, seed " << seed);
       follower_fleet fleet;
-      populate(fleet);
+      populate_zone(fleet, node_count);
       std::mt19937_64 random(seed);
       while (count_alive(fleet) > left) {
         fleet.lose_power("node-" + std::to_string(random() % node_count));
@@ -143,7 +96,7 @@
   for (const bool hangs : {true, false}) {
     INFO("connections to lost nodes hang: " << hangs);
     follower_fleet fleet;
-    populate(fleet);
+    populate_zone(fleet, node_count);
     for (std::uint64_t round = 0; round < rounds; ++round) {
       const std::string lost = "node-" + std::to_string(round);
       if (hangs) {
@@ -151,7 +104,7 @@
       } else {
         fleet.nodes.at(lost).alive = false;
       }
-      add_node(fleet, "node-" + std::to_string(node_count + round));
+      add_zone_node(fleet, "node-" + std::to_string(node_count + round));
       fleet.run_for(seconds(1));
       fleet.announce_nodes();
       check_propagation(fleet, 3 + round);
--- a/tests/serving_store_restored_test.cpp
+++ b/tests/serving_store_restored_test.cpp
@@ -2,8 +2,8 @@
 #include <map>               // for map
 #include <random>            // for mt19937_64
 
-#include "follower_fleet.hpp"         // for follower_fleet
-#include "ibis/serving/view_age.hpp"  // for fit_propagation
+#include "follower_fleet.hpp"  // for follower_fleet
+#include "zone_fleet.hpp"      // for populate_zone, check_propagation
 
 namespace ibis::tests {
 namespace {
@@ -13,28 +13,6 @@
 using std::chrono::seconds;
 
 constexpr std::size_t node_count = 10;
-/// How soon a change must be in force at all nodes; the smallest site requires this.
-constexpr milliseconds propagation_limit{3000};
-
-/// Starts the nodes of an availability zone, which know each other and follow two of
-/// them.
-void populate(follower_fleet& fleet) {
-  fleet.configure(1);
-  for (std::size_t i = 0; i < node_count; ++i) {
-    serving::node_settings settings;
-    serving::fit_propagation(settings, propagation_limit);
-    settings.store.follow_evacuations = true;
-    settings.node = "node-" + std::to_string(i);
-    settings.availability_zone = "zone";
-    fleet.add_node(settings);
-  }
-  fleet.run_for(seconds(1));
-  fleet.announce_nodes();
-  fleet.configure(2);
-  fleet.add_leaf("leaf-2");
-  fleet.run_for(seconds(4));
-}
-
 /// Writes changes that a restoration loses.
 void write_lost_changes(follower_fleet& fleet, int count) {
   for (int i = 0; i < count; ++i) {
@@ -42,19 +20,6 @@
   }
 }
 
-/// Changes each topic, and checks that all nodes apply it in time.
-void check_propagation(follower_fleet& fleet, std::uint64_t version) {
-  const std::string name = std::to_string(version);
-  fleet.configure(version);
-  fleet.add_leaf("leaf-" + name);
-  fleet.evacuate("zone-" + name);
-  fleet.run_for(propagation_limit);
-  INFO("version " << version);
-  CHECK(fleet.count_nodes_at_version(version) == node_count);
-  CHECK(fleet.count_nodes_knowing_leaf("leaf-" + name) == node_count);
-  CHECK(fleet.count_nodes_evacuating("zone-" + name) == node_count);
-}
-
 }  // namespace
 
 // Guards against nodes that follow a peer from a revision of before a restoration: the
@@ -63,7 +28,7 @@
   for (int lost = 0; lost < 60; lost += 12) {
     INFO(lost << " changes are lost");
     follower_fleet fleet;
-    populate(fleet);
+    populate_zone(fleet, node_count);
     fleet.take_backup();
     write_lost_changes(fleet, lost);
     fleet.run_for(seconds(5));
@@ -79,7 +44,7 @@
 // only the revision checks can tell.
 TEST_CASE("Nodes notice a restoration although their watches are silent") {
   follower_fleet fleet;
-  populate(fleet);
+  populate_zone(fleet, node_count);
   fleet.take_backup();
   write_lost_changes(fleet, 20);
   fleet.run_for(seconds(5));
@@ -90,7 +55,7 @@
 
 TEST_CASE("A node with a restored configuration keeps the later one that it has") {
   follower_fleet fleet;
-  populate(fleet);
+  populate_zone(fleet, node_count);
   fleet.take_backup();
   fleet.configure(9);
   fleet.run_for(seconds(5));
@@ -107,7 +72,7 @@
 // records until they write them again.
 TEST_CASE("Leafs that a restoration forgets are kept until they can register again") {
   follower_fleet fleet;
-  populate(fleet);
+  populate_zone(fleet, node_count);
   fleet.take_backup();
   fleet.add_leaf("young");
   fleet.run_for(seconds(5));
@@ -126,7 +91,7 @@
   for (std::uint64_t seed = 1; seed <= 20; ++seed) {
     INFO("seed " << seed);
     follower_fleet fleet;
-    populate(fleet);
+    populate_zone(fleet, node_count);
     std::mt19937_64 random(seed);
     for (auto& [name, node] : fleet.nodes) {
       node.states_no_era = random() % 2 == 0;
@@ -145,7 +110,7 @@
   for (std::uint64_t seed = 1; seed <= 40; ++seed) {
     INFO("seed " << seed);
     follower_fleet fleet;
-    populate(fleet);
+    populate_zone(fleet, node_count);
     std::mt19937_64 random(seed);
     std::uint64_t version = 2;
     std::map<std::string, std::uint64_t> in_force;
