--- a/src/ibis/quota/model_test.cpp
+++ b/src/ibis/quota/model_test.cpp
@@ -501,6 +501,33 @@
   }
 }
 
+// Guards against an account that stays refused below its limit since its owner, or each
+// node that could own it, is lost for good: the records of lost nodes stay.
+TEST_CASE("An account keeps its quota after its candidates are lost for good") {
+  for (const std::size_t lost : {std::size_t{1}, std::size_t{3}}) {
+    INFO(lost << " candidates are lost");
+    model run(1);
+    run.accounts = {{"large", {12, 12}}};
+    run.start_all(8);
+    run.run_until(epoch + seconds(30));
+    const std::vector<std::string> candidates =
+        run.nodes["n0"].state.accounts["large"].candidates;
+    REQUIRE(candidates.size() == 3);
+    std::vector<std::string> left = names_of(0, 8);
+    for (std::size_t i = 0; i < lost; ++i) {
+      run.nodes[candidates[i]].running = false;  // Its record stays.
+      std::erase(left, candidates[i]);
+    }
+    run.add_clients("large", 9, left, epoch + seconds(200));
+    run.run_until(epoch + seconds(200));
+    const base::time_point from = epoch + seconds(100);
+    const tally& result = run.results["large"];
+    const double within = count_within(result.asked, {12, 12}, from);
+    CHECK(count_after(result.admitted, from) >= 0.95 * within);
+    check_bounds(run);
+  }
+}
+
 // Guards against nodes that each admit a request early, ahead of an owner that no node
 // reaches: 62 nodes that are cut off from each other as an account's peak begins.
 TEST_CASE("The bound holds if all nodes are cut off as a peak begins") {
