--- a/tests/serving_lost_nodes_test.cpp
+++ b/tests/serving_lost_nodes_test.cpp
@@ -15,6 +15,7 @@
 using std::chrono::seconds;
 
 constexpr std::size_t node_count = 32;
+
 /// @return The nodes that watch the leafs at the store.
 std::vector<std::string> find_watchers(const follower_fleet& fleet) {
   std::vector<std::string> watchers;
--- a/tests/serving_store_restored_test.cpp
+++ b/tests/serving_store_restored_test.cpp
@@ -13,6 +13,7 @@
 using std::chrono::seconds;
 
 constexpr std::size_t node_count = 10;
+
 /// Writes changes that a restoration loses.
 void write_lost_changes(follower_fleet& fleet, int count) {
   for (int i = 0; i < count; ++i) {
